Add the design page, the workspace and the core's interfaces

The core package defines identifiers, control datagrams, peer frames, the group record, and the reducer's events and effects. Ownership, routing and the request path have their interfaces but no behaviour yet.

--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,28 @@
+//! Decisions of the lagoondyke router, without I/O.
+//!
+//! Everything that decides lives in this package: who owns a key, who may
+//! take work, which configuration is in force, and what happens to each
+//! request. A single reducer, [`node::Node`], takes an [`event::Event`] and
+//! the present time and returns [`effect::Effect`]s as data. The shell in
+//! `lagoondyke-node` performs the effects and reports their outcomes as new
+//! events. Nothing here names a socket or reads a clock, so each decision is
+//! tested with plain values.
+//!
+//! The protocol is described in `docs/design.md`.
+
+pub mod clock;
+pub mod config;
+pub mod control;
+pub mod effect;
+pub mod event;
+pub mod group;
+pub mod id;
+pub mod jsonc;
+pub mod node;
+pub mod peer;
+pub mod record;
+pub mod request;
+pub mod route;
+pub mod settings;
+pub mod status;
+pub mod verdict;
--- /dev/null
+++ b/crates/core/src/status.rs
@@ -0,0 +1,63 @@
+//! The operator's view of a node.
+//!
+//! `GET /lagoondyke/status` answers with a [`Status`] as JSON; the
+//! `lagoondyke` command renders it.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{Epoch, NodeAddr};
+
+/// A node's state at one moment.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Status {
+    /// The node's failure domain.
+    pub domain: String,
+    /// The service of its upstream.
+    pub service: String,
+    /// Version of the configuration in force.
+    pub config: u64,
+    /// The leader of the node's group, as far as it knows.
+    pub leader: Option<NodeAddr>,
+    /// The epoch of that leader.
+    pub epoch: Epoch,
+    /// Whether this node leads the group.
+    pub leads: bool,
+    /// Milliseconds left of the node's lease.
+    pub lease: u64,
+    /// Shards it serves.
+    pub shards: usize,
+    /// Shards it is giving up.
+    pub revoked: usize,
+    /// Requests at the upstream.
+    pub busy: usize,
+    /// Requests waiting for the upstream.
+    pub queued: usize,
+    /// The concurrency limit.
+    pub limit: usize,
+    /// Whether the upstream is reachable.
+    pub upstream: bool,
+    /// Whether the node is giving up its work in order to stop.
+    pub leaving: bool,
+    /// At a leader: its members.
+    pub members: Vec<MemberStatus>,
+}
+
+/// A member as its leader sees it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct MemberStatus {
+    /// Its address.
+    pub node: NodeAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// Shards granted to it.
+    pub shards: usize,
+    /// Requests it reported in flight.
+    pub busy: u16,
+    /// The limit it reported.
+    pub limit: u16,
+    /// Milliseconds since its last heartbeat.
+    pub silent: u64,
+    /// Whether it is leaving or its domain is out.
+    pub leaving: bool,
+}
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,2 @@
+//! Bootstrap.
+fn main() {}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder during bootstrap.
