Implement the ownership protocol in the core

The group and route types were placeholders, so no node could own a key. A node now reads or creates its group's record, leads with promises from all standbys, leases shards with a plan, takes over after expired promises, moves shards by revoke, release and grant, and hands over when it leaves.

--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -75,6 +75,10 @@
 /// Largest relative difference of two clocks' rates, in per mille.
 pub const DRIFT: u64 = 10;
 
+/// Allowance for reading clocks in whole milliseconds: the two ends of a
+/// span are each rounded down by up to 1 ms.
+pub const GRAIN: u64 = 2;
+
 /// A span of another VM's clock, in milliseconds, as the longest time that
 /// it can last on this VM's clock.
 ///
@@ -84,6 +88,6 @@
 /// assert_eq!(lagoondyke_core::clock::with_drift(1_500), 1_515);
 /// ```
 #[must_use]
-pub fn with_drift(span: u64) -> u64 {
+pub const fn with_drift(span: u64) -> u64 {
     span + (span * DRIFT).div_ceil(1_000)
 }
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -58,8 +58,13 @@
     pub group: GroupId,
     /// The member's process.
     pub incarnation: Incarnation,
+    /// The epoch of the leader addressed. A leader relies only on reports
+    /// that name its own epoch: those were sent after the epoch began.
+    pub epoch: Epoch,
     /// The member's clock when it sent this; echoed in the lease.
     pub sent: Millis,
+    /// Milliseconds left of the member's lease when it sent this.
+    pub lease: u16,
     /// Epoch and version of the plan the member acts on; zero for none.
     pub plan: Fence,
     /// Shards of the plan's revoked list with no work left in flight.
@@ -155,6 +160,8 @@
     pub standbys: Vec<NodeAddr>,
     /// Requests to refuse since they crash upstreams.
     pub poison: Vec<Fingerprint>,
+    /// The member is leaving or its domain is out: it takes no new work.
+    pub drain: bool,
 }
 
 /// Shards that were granted at one plan version.
--- /dev/null
+++ b/crates/core/src/group/book.rs
@@ -0,0 +1,218 @@
+//! What a node knows of its group's record in the store.
+//!
+//! One call to the store is outstanding at a time. A write whose answer was
+//! lost may take effect at any later moment, even after a read that still
+//! shows the old record. It is settled only when the record's version moves
+//! past the version that the write was conditional on; until then the write
+//! stays in [`Book::pending`] and every decision allows for both outcomes.
+
+use rand::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::clock::Millis;
+use crate::effect::{Effect, Notice, StoreOp};
+use crate::event::StoreOutcome;
+use crate::id::{CallId, CallOwner};
+use crate::record::Record;
+
+/// Pause after a failed call before the next one, in milliseconds.
+const RETRY: u64 = 250;
+
+/// The record as far as this node knows it.
+#[derive(Debug)]
+pub(crate) struct Book {
+    name: String,
+    rng: Pcg64Mcg,
+    /// Version of the last state read or written; 0 if there is no record.
+    version: u64,
+    record: Option<Record>,
+    /// Writes on the condition of `version` that may yet take effect.
+    pending: Vec<Record>,
+    call: Option<(CallId, Option<Record>)>,
+    calls: u32,
+    /// The state must be read before the next decision.
+    stale: bool,
+    read_at: Option<Millis>,
+    retry: Millis,
+    /// The record known was written by this process.
+    own: bool,
+}
+
+impl Book {
+    /// Knows nothing of the object `name`.
+    pub(crate) fn new(name: String, seed: u64) -> Self {
+        Self {
+            name,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            version: 0,
+            record: None,
+            pending: Vec::new(),
+            call: None,
+            calls: 0,
+            stale: true,
+            read_at: None,
+            retry: Millis(0),
+            own: false,
+        }
+    }
+
+    /// The last record known.
+    pub(crate) fn record(&self) -> Option<&Record> {
+        self.record.as_ref()
+    }
+
+    /// Whether this process wrote the last record known.
+    pub(crate) fn own(&self) -> bool {
+        self.own
+    }
+
+    /// Writes that may have taken effect or may yet take effect.
+    pub(crate) fn pending(&self) -> &[Record] {
+        &self.pending
+    }
+
+    /// When the record was last read or written.
+    pub(crate) fn read_at(&self) -> Option<Millis> {
+        self.read_at
+    }
+
+    /// Whether the record must be read again before it is relied on.
+    pub(crate) fn stale(&self) -> bool {
+        self.stale
+    }
+
+    /// Asks for a read at the next opportunity.
+    pub(crate) fn doubt(&mut self) {
+        self.stale = true;
+    }
+
+    /// Whether a call can be made at `now`.
+    pub(crate) fn idle(&self, now: Millis) -> bool {
+        self.call.is_none() && now >= self.retry
+    }
+
+    /// Reads the record, if no call is outstanding.
+    pub(crate) fn read(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        if !self.idle(now) {
+            return;
+        }
+        let op = StoreOp::Read { name: self.name.clone() };
+        self.start(None, op, out);
+    }
+
+    /// Updates the record on the condition of the version known.
+    pub(crate) fn write(
+        &mut self,
+        mut record: Record,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        if !self.idle(now) {
+            return;
+        }
+        record.writer = self.rng.next_u64();
+        let op = StoreOp::Update {
+            name: self.name.clone(),
+            expect: self.version,
+            value: record.encode(),
+        };
+        self.pending.push(record.clone());
+        self.start(Some(record), op, out);
+    }
+
+    /// Takes the outcome of a call. Returns whether the record's state
+    /// became known anew, by a read or a successful write.
+    pub(crate) fn stored(
+        &mut self,
+        call: CallId,
+        outcome: StoreOutcome,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        if self.call.as_ref().is_none_or(|(id, _)| *id != call) {
+            return false;
+        }
+        let written = self.call.take().and_then(|(_, record)| record);
+        match (outcome, written) {
+            (StoreOutcome::Read { version, value }, None) => {
+                self.was_read(version, &value, now, out)
+            }
+            (StoreOutcome::Missing, None) => {
+                self.stale = false;
+                self.read_at = Some(now);
+                true
+            }
+            (StoreOutcome::Written { version }, Some(record)) => {
+                self.became(version, Some(record), now);
+                true
+            }
+            (StoreOutcome::Conflict, Some(record)) => {
+                self.withdraw(&record);
+                self.stale = true;
+                false
+            }
+            (StoreOutcome::Unavailable, Some(record)) => {
+                self.withdraw(&record);
+                self.retry = now.plus(RETRY);
+                false
+            }
+            _ => {
+                self.stale = true;
+                self.retry = now.plus(RETRY);
+                false
+            }
+        }
+    }
+
+    fn was_read(
+        &mut self,
+        version: u64,
+        value: &[u8],
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        match Record::decode(value) {
+            Ok(record) => {
+                self.became(version, Some(record), now);
+                true
+            }
+            Err(e) => {
+                let name = self.name.clone();
+                let error = e.to_string();
+                out.push(Effect::Notice(Notice::Rejected { name, error }));
+                self.retry = now.plus(4 * RETRY);
+                false
+            }
+        }
+    }
+
+    /// A write that certainly had no effect is no longer pending.
+    fn withdraw(&mut self, record: &Record) {
+        self.pending.retain(|r| r.writer != record.writer);
+    }
+
+    fn became(&mut self, version: u64, record: Option<Record>, now: Millis) {
+        self.stale = false;
+        self.read_at = Some(now);
+        if version <= self.version {
+            return;
+        }
+        let writer = record.as_ref().map(|r| r.writer);
+        self.own = self.pending.iter().any(|r| Some(r.writer) == writer);
+        self.version = version;
+        self.record = record;
+        self.pending.clear();
+    }
+
+    fn start(
+        &mut self,
+        record: Option<Record>,
+        op: StoreOp,
+        out: &mut Vec<Effect>,
+    ) {
+        self.calls += 1;
+        let call = CallId { owner: CallOwner::Group, number: self.calls };
+        self.call = Some((call, record));
+        out.push(Effect::Store { call, op });
+    }
+}
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -1,5 +1,8 @@
 //! The group record kept in the store.
 //!
+//! A record is never deleted: a node that finds none creates the first one
+//! and takes for granted that no lease was ever given.
+//!
 //! A record names a group's leader, its standbys and the epoch. It changes
 //! only by conditional update on the version that the writer read. `writer`
 //! is drawn anew for each write, so that a writer whose answer was lost
@@ -33,6 +36,36 @@
     pub standbys: Vec<NodeAddr>,
     /// Random id of the write that produced this record.
     pub writer: u64,
+    /// Whether the leader has given up the group.
+    #[serde(default)]
+    pub tenure: Tenure,
+}
+
+/// Whether the leader in a record has given up its authority.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Tenure {
+    /// The leader may be granting leases.
+    #[default]
+    Led,
+    /// The previous leader left before this write. The node named as leader
+    /// should take over at once, any other node after a pause. Leases of
+    /// the previous leader may last for one more term.
+    Ceded,
+    /// The previous leader left and no lease lasts. Any node may take over.
+    Vacant,
 }
 
 /// Why a record from the store cannot be used.
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -4,12 +4,30 @@
 //! miss costs one read of the group's record in the store and one `Locate`
 //! datagram to its leader; all requests that wait share them.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use crate::clock::Millis;
 use crate::config::Service;
-use crate::control::{Control, MapMember};
-use crate::effect::Effect;
+use crate::control::{Control, GroupMap, Locate, MapMember, NotLeader};
+use crate::effect::{Effect, StoreOp};
 use crate::event::StoreOutcome;
-use crate::id::{CallId, KeyHash, NodeAddr};
+use crate::id::{CallId, CallOwner, Epoch, GroupId, KeyHash, NodeAddr, Shard};
+use crate::record::{Record, object_name};
+
+/// Interval between two questions for the same map, in milliseconds.
+const ASK: u64 = 200;
+
+/// Questions without an answer after which the leader's address is looked
+/// up in the store again.
+const ATTEMPTS: u32 = 2;
+
+/// Pause after a failed read of a record, in milliseconds.
+const READ_RETRY: u64 = 500;
+
+/// Age at which the map of a service that is not partitioned by key is
+/// fetched again while it is in use, in milliseconds. Nothing else would
+/// tell an ingress of a new member.
+const REFRESH: u64 = 2_000;
 
 /// Where a request should go.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -20,26 +38,60 @@
     Wait,
 }
 
-/// The routing cache of one node.
+/// What is known of one group.
 #[derive(Debug)]
-pub struct Routes {}
+struct Entry {
+    name: String,
+    groups: u16,
+    leader: Option<(NodeAddr, Epoch)>,
+    map: Option<GroupMap>,
+    fetched: Millis,
+    /// A newer map is wanted.
+    wanted: bool,
+    /// Shards whose owner in the map turned out to be wrong.
+    wrong: BTreeSet<Shard>,
+    call: Option<CallId>,
+    read_next: Millis,
+    ask_next: Millis,
+    attempts: u32,
+}
+
+/// The routing cache of one node.
+#[derive(Debug, Default)]
+pub struct Routes {
+    groups: BTreeMap<GroupId, Entry>,
+    calls: u32,
+}
 
 impl Routes {
     /// An empty cache.
     #[must_use]
     pub fn new() -> Self {
-        Self {}
+        Self::default()
     }
 
     /// The owner of a key.
     pub fn owner(
         &mut self,
-        _service: &str,
-        _spec: &Service,
-        _key: KeyHash,
-        _now: Millis,
-        _out: &mut Vec<Effect>,
+        service: &str,
+        spec: &Service,
+        key: KeyHash,
+        now: Millis,
+        out: &mut Vec<Effect>,
     ) -> Lookup {
+        let hashed = key.shard(spec.shards);
+        let index = hashed.group(spec.groups);
+        let id = self.entry(service, spec, index);
+        let Some(entry) = self.groups.get_mut(&id) else {
+            return Lookup::Wait;
+        };
+        if let Some((shard, owner)) = entry.owner(key, hashed)
+            && !entry.wrong.contains(&shard)
+        {
+            return Lookup::Owner(owner);
+        }
+        entry.wanted = true;
+        self.pursue(id, now, out);
         Lookup::Wait
     }
 
@@ -47,12 +99,25 @@
     /// while none is known.
     pub fn members(
         &mut self,
-        _service: &str,
-        _spec: &Service,
-        _now: Millis,
-        _out: &mut Vec<Effect>,
+        service: &str,
+        spec: &Service,
+        now: Millis,
+        out: &mut Vec<Effect>,
     ) -> Vec<MapMember> {
-        Vec::new()
+        let mut members = Vec::new();
+        for index in 0..spec.groups {
+            let id = self.entry(service, spec, index);
+            let Some(entry) = self.groups.get_mut(&id) else { continue };
+            if let Some(map) = &entry.map {
+                members.extend(map.members.iter().cloned());
+            }
+            let old = now.since(entry.fetched) >= REFRESH;
+            if entry.map.is_none() || old {
+                entry.wanted = true;
+            }
+            self.pursue(id, now, out);
+        }
+        members
     }
 
     /// A node answered that it is not the owner or could not be reached:
@@ -60,40 +125,178 @@
     /// service is not partitioned by key).
     pub fn stale(
         &mut self,
-        _service: &str,
-        _spec: &Service,
-        _key: Option<KeyHash>,
-        _now: Millis,
-        _out: &mut Vec<Effect>,
+        service: &str,
+        spec: &Service,
+        key: Option<KeyHash>,
+        now: Millis,
+        out: &mut Vec<Effect>,
     ) {
+        let hashed = key.map(|k| k.shard(spec.shards));
+        for index in 0..spec.groups {
+            if hashed.is_some_and(|s| s.group(spec.groups) != index) {
+                continue;
+            }
+            let id = self.entry(service, spec, index);
+            let Some(entry) = self.groups.get_mut(&id) else { continue };
+            if let (Some(key), Some(hashed)) = (key, hashed)
+                && let Some((shard, _)) = entry.owner(key, hashed)
+            {
+                entry.wrong.insert(shard);
+            }
+            entry.wanted = true;
+            self.pursue(id, now, out);
+        }
     }
 
     /// Takes `Map` and `NotLeader` datagrams.
     pub fn datagram(
         &mut self,
-        _from: NodeAddr,
-        _message: &Control,
-        _now: Millis,
-        _out: &mut Vec<Effect>,
+        from: NodeAddr,
+        message: &Control,
+        now: Millis,
+        out: &mut Vec<Effect>,
     ) {
+        match message {
+            Control::Map(map) => self.map_arrived(from, map, now),
+            Control::NotLeader(not) => self.not_leader(from, *not, now, out),
+            _ => {}
+        }
     }
 
     /// Takes the outcome of a call made with `CallOwner::Route`.
     pub fn stored(
         &mut self,
-        _call: CallId,
-        _outcome: StoreOutcome,
-        _now: Millis,
-        _out: &mut Vec<Effect>,
+        call: CallId,
+        outcome: StoreOutcome,
+        now: Millis,
+        out: &mut Vec<Effect>,
     ) {
+        let found = self.groups.iter_mut().find(|(_, e)| e.call == Some(call));
+        let Some((&id, entry)) = found else { return };
+        entry.call = None;
+        entry.read_next = now.plus(READ_RETRY);
+        let StoreOutcome::Read { value, .. } = outcome else { return };
+        let Ok(record) = Record::decode(&value) else { return };
+        let newer = entry.leader.is_none_or(|(_, e)| record.epoch >= e);
+        if newer {
+            entry.leader = Some((record.leader, record.epoch));
+        }
+        entry.attempts = 0;
+        entry.ask_next = now;
+        self.pursue(id, now, out);
     }
 
     /// Repeats questions that were not answered.
-    pub fn tick(&mut self, _now: Millis, _out: &mut Vec<Effect>) {}
+    pub fn tick(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let wanted: Vec<GroupId> = self
+            .groups
+            .iter()
+            .filter(|(_, e)| e.wanted)
+            .map(|(&id, _)| id)
+            .collect();
+        for id in wanted {
+            self.pursue(id, now, out);
+        }
+    }
+
+    fn entry(&mut self, service: &str, spec: &Service, index: u16) -> GroupId {
+        let id = GroupId::of(service, index);
+        self.groups.entry(id).or_insert_with(|| Entry {
+            name: object_name(service, index),
+            groups: spec.groups,
+            leader: None,
+            map: None,
+            fetched: Millis(0),
+            wanted: false,
+            wrong: BTreeSet::new(),
+            call: None,
+            read_next: Millis(0),
+            ask_next: Millis(0),
+            attempts: 0,
+        });
+        id
+    }
+
+    /// Takes the next step towards a newer map, if one is due.
+    fn pursue(&mut self, id: GroupId, now: Millis, out: &mut Vec<Effect>) {
+        let Some(entry) = self.groups.get_mut(&id) else { return };
+        if !entry.wanted {
+            return;
+        }
+        let unknown = entry.leader.is_none() || entry.attempts >= ATTEMPTS;
+        if unknown && entry.call.is_none() && now >= entry.read_next {
+            self.calls += 1;
+            let call = CallId { owner: CallOwner::Route, number: self.calls };
+            entry.call = Some(call);
+            let op = StoreOp::Read { name: entry.name.clone() };
+            out.push(Effect::Store { call, op });
+        }
+        let Some((to, _)) = entry.leader else { return };
+        if now < entry.ask_next {
+            return;
+        }
+        entry.ask_next = now.plus(ASK);
+        entry.attempts += 1;
+        let known = entry.map.as_ref().map_or(0, |m| m.version);
+        let message = Control::Locate(Locate { group: id, known });
+        out.push(Effect::Send { to, message });
+    }
+
+    fn map_arrived(&mut self, from: NodeAddr, map: &GroupMap, now: Millis) {
+        let Some(entry) = self.groups.get_mut(&map.group) else { return };
+        let version = (map.epoch, map.version);
+        let old = entry.map.as_ref().map(|m| (m.epoch, m.version));
+        if old.is_some_and(|o| o > version) {
+            return;
+        }
+        entry.leader = Some((from, map.epoch));
+        entry.map = Some(map.clone());
+        entry.fetched = now;
+        entry.wanted = false;
+        entry.wrong.clear();
+        entry.attempts = 0;
+    }
+
+    fn not_leader(
+        &mut self,
+        from: NodeAddr,
+        not: NotLeader,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(entry) = self.groups.get_mut(&not.group) else { return };
+        if entry.leader.is_none_or(|(node, _)| node != from) {
+            return;
+        }
+        let newer = |e: Epoch| entry.leader.is_none_or(|(_, old)| e > old);
+        match not.hint {
+            Some((node, epoch)) if newer(epoch) => {
+                entry.leader = Some((node, epoch));
+                entry.ask_next = now;
+            }
+            _ => entry.attempts = ATTEMPTS,
+        }
+        self.pursue(not.group, now, out);
+    }
 }
 
-impl Default for Routes {
-    fn default() -> Self {
-        Self::new()
+impl Entry {
+    /// The shard and owner of a key by the map known.
+    fn owner(&self, key: KeyHash, hashed: Shard) -> Option<(Shard, NodeAddr)> {
+        let map = self.map.as_ref()?;
+        let node = |i: u8| Some(map.members.get(usize::from(i))?.addr);
+        for &(pinned, shard, owner) in &map.pins {
+            if pinned == key {
+                return Some((shard, node(owner?)?));
+            }
+        }
+        let mut position = hashed.0 / self.groups;
+        for run in &map.owners {
+            if position < run.count {
+                return Some((hashed, node(run.owner?)?));
+            }
+            position -= run.count;
+        }
+        None
     }
 }
