Carry requests from arrival to a true verdict

The request path was a placeholder. A request now finds its owner (own grant first, then the routing cache), is forwarded or dispatched, waits within its deadline while there is no owner or the shard moves, and ends with exactly one answer or refusal.

Ownership and routing are seen through two traits in View, so that tests can set their answers.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -2,15 +2,134 @@
 //!
 //! [`Requests`] holds one entry per request that has arrived and not ended.
 //! The entry's body and answer are in the shell, under the same ticket.
+//! The decisions are in the submodules; `flow` ties them together.
+
+use std::collections::{BTreeSet, HashMap};
+use std::fmt::Debug;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use slab::Slab;
 
 use crate::clock::Millis;
-use crate::config::Config;
+use crate::config::{Config, Service};
+use crate::control::MapMember;
 use crate::effect::Effect;
 use crate::event::{Arrival, Outcome};
-use crate::group::{Group, Load};
-use crate::id::{Incarnation, NodeAddr, Ticket};
-use crate::route::Routes;
+use crate::group::{Grant, Group, Load};
+use crate::id::{Fingerprint, Incarnation, KeyHash, NodeAddr, Ticket};
+use crate::route::{Lookup, Routes};
 use crate::status::Status;
+use crate::verdict::Reason;
+
+mod flow;
+pub mod retry;
+
+/// Permission to serve, as the request path sees it.
+pub trait Ownership: Debug {
+    /// Permission to serve a key now; see [`Group::grant`].
+    ///
+    /// # Errors
+    ///
+    /// `NotOwner`, `Moving` or `NoOwner`.
+    fn grant(
+        &self,
+        key: KeyHash,
+        spec: &Service,
+        now: Millis,
+    ) -> Result<Grant, Reason>;
+
+    /// When the node's lease ends; see [`Group::lease`].
+    fn lease(&self, now: Millis) -> Option<Millis>;
+
+    /// Requests declared harmful; see [`Group::poison`].
+    fn poison(&self) -> &[Fingerprint];
+}
+
+impl Ownership for Group {
+    fn grant(
+        &self,
+        key: KeyHash,
+        spec: &Service,
+        now: Millis,
+    ) -> Result<Grant, Reason> {
+        Group::grant(self, key, spec, now)
+    }
+
+    fn lease(&self, now: Millis) -> Option<Millis> {
+        Group::lease(self, now)
+    }
+
+    fn poison(&self) -> &[Fingerprint] {
+        Group::poison(self)
+    }
+}
+
+/// Where requests go, as the request path sees it.
+pub trait Routing: Debug {
+    /// The owner of a key; see [`Routes::owner`].
+    fn owner(
+        &mut self,
+        service: &str,
+        spec: &Service,
+        key: KeyHash,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) -> Lookup;
+
+    /// The members of a service; see [`Routes::members`].
+    fn members(
+        &mut self,
+        service: &str,
+        spec: &Service,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) -> Vec<MapMember>;
+
+    /// The map of a key's group is out of date; see [`Routes::stale`].
+    fn stale(
+        &mut self,
+        service: &str,
+        spec: &Service,
+        key: Option<KeyHash>,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    );
+}
+
+impl Routing for Routes {
+    fn owner(
+        &mut self,
+        service: &str,
+        spec: &Service,
+        key: KeyHash,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) -> Lookup {
+        Routes::owner(self, service, spec, key, now, out)
+    }
+
+    fn members(
+        &mut self,
+        service: &str,
+        spec: &Service,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) -> Vec<MapMember> {
+        Routes::members(self, service, spec, now, out)
+    }
+
+    fn stale(
+        &mut self,
+        service: &str,
+        spec: &Service,
+        key: Option<KeyHash>,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        Routes::stale(self, service, spec, key, now, out);
+    }
+}
 
 /// What the request path uses of the rest of the node at each event.
 #[derive(Debug)]
@@ -18,9 +137,9 @@
     /// The configuration in force; `None` before the first one.
     pub config: Option<&'a Config>,
     /// Ownership at this node.
-    pub group: &'a Group,
+    pub group: &'a dyn Ownership,
     /// Routing cache.
-    pub routes: &'a mut Routes,
+    pub routes: &'a mut dyn Routing,
 }
 
 /// Identity of the node for the request path.
@@ -42,83 +161,141 @@
 #[derive(Debug)]
 pub struct Requests {
     local: Local,
+    entries: Slab<flow::Entry>,
+    /// Places in `entries`.
+    tickets: HashMap<Ticket, usize>,
+    /// Every entry, by its deadline.
+    deadlines: BTreeSet<(Millis, usize)>,
+    /// Entries without an owner, by when they look for it again.
+    waiting: BTreeSet<(Millis, usize)>,
+    /// Entries that wait for a slot of the upstream, by deadline.
+    queue: BTreeSet<(Millis, usize)>,
+    /// Entries at the upstream, at most `slots`.
+    running: Vec<usize>,
+    /// The upstream is reachable.
+    up: bool,
+    retries: retry::Budget,
+    random: Pcg64Mcg,
 }
 
 impl Requests {
     /// A node without requests. `seed` seeds random choices.
     #[must_use]
-    pub fn new(local: Local, _seed: u64, _now: Millis) -> Self {
-        Self { local }
+    pub fn new(local: Local, seed: u64, _now: Millis) -> Self {
+        Self {
+            local,
+            entries: Slab::new(),
+            tickets: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            waiting: BTreeSet::new(),
+            queue: BTreeSet::new(),
+            running: Vec::new(),
+            up: true,
+            retries: retry::Budget::new(
+                retry::RETRY_PERCENT,
+                retry::RETRY_BURST,
+            ),
+            random: Pcg64Mcg::seed_from_u64(seed),
+        }
     }
 
     /// A request arrived.
     pub fn arrived(
         &mut self,
-        _arrival: Arrival,
-        _view: View<'_>,
-        _now: Millis,
-        _out: &mut Vec<Effect>,
+        arrival: Arrival,
+        mut view: View<'_>,
+        now: Millis,
+        out: &mut Vec<Effect>,
     ) {
+        self.begin(arrival, &mut view, now, out);
     }
 
     /// An attempt at a peer ended.
     pub fn peer_done(
         &mut self,
-        _ticket: Ticket,
-        _attempt: u8,
-        _outcome: Outcome,
-        _view: View<'_>,
-        _now: Millis,
-        _out: &mut Vec<Effect>,
+        ticket: Ticket,
+        attempt: u8,
+        outcome: Outcome,
+        mut view: View<'_>,
+        now: Millis,
+        out: &mut Vec<Effect>,
     ) {
+        self.peer_ended((ticket, attempt), outcome, &mut view, now, out);
     }
 
     /// A dispatched request ended.
     pub fn upstream_done(
         &mut self,
-        _ticket: Ticket,
-        _outcome: Outcome,
-        _view: View<'_>,
-        _now: Millis,
-        _out: &mut Vec<Effect>,
+        ticket: Ticket,
+        outcome: Outcome,
+        mut view: View<'_>,
+        now: Millis,
+        out: &mut Vec<Effect>,
     ) {
+        self.run_ended(ticket, outcome, &mut view, now, out);
+        self.pump(&mut view, now, out);
     }
 
     /// Whoever sent a request went away.
     pub fn cancelled(
         &mut self,
-        _ticket: Ticket,
-        _view: View<'_>,
-        _now: Millis,
-        _out: &mut Vec<Effect>,
+        ticket: Ticket,
+        mut view: View<'_>,
+        now: Millis,
+        out: &mut Vec<Effect>,
     ) {
+        let Some(&id) = self.tickets.get(&ticket) else { return };
+        self.abandon(id, Reason::Cancelled, "the caller went away", out);
+        self.pump(&mut view, now, out);
     }
 
     /// The upstream crashed.
-    pub fn upstream_down(&mut self, _now: Millis, _out: &mut Vec<Effect>) {}
+    ///
+    /// The shell reports the requests that were in flight one by one as
+    /// well, before or after this.
+    pub fn upstream_down(&mut self, _now: Millis, out: &mut Vec<Effect>) {
+        self.up = false;
+        out.push(Effect::Notice(crate::effect::Notice::UpstreamDown));
+    }
 
     /// The upstream is back; it starts cold.
-    pub fn upstream_up(&mut self, _now: Millis, _out: &mut Vec<Effect>) {}
+    pub fn upstream_up(&mut self, _now: Millis, out: &mut Vec<Effect>) {
+        self.up = true;
+        out.push(Effect::Notice(crate::effect::Notice::UpstreamUp));
+    }
 
     /// Does what is due at `now`: deadlines, waiting requests, lost leases.
     pub fn tick(
         &mut self,
-        _view: View<'_>,
-        _now: Millis,
-        _out: &mut Vec<Effect>,
+        mut view: View<'_>,
+        now: Millis,
+        out: &mut Vec<Effect>,
     ) {
+        self.expire(now, out);
+        self.check_leases(&mut view, now, out);
+        self.wake(&mut view, now, out);
+        self.pump(&mut view, now, out);
     }
 
     /// The load for heartbeats and planned moves.
     #[must_use]
     pub fn load(&self, _now: Millis) -> Load {
-        Load::default()
+        let mut load = Load {
+            busy: self.running.len() as u16,
+            limit: self.limit() as u16,
+            ..Load::default()
+        };
+        for &id in &self.running {
+            let Some(shard) = self.entries[id].shard() else { continue };
+            *load.shards.entry(shard).or_default() += 1;
+        }
+        load
     }
 
     /// Requests that have not ended.
     #[must_use]
     pub fn len(&self) -> usize {
-        0
+        self.entries.len()
     }
 
     /// Whether all requests have ended.
@@ -130,5 +307,13 @@
     /// Fills the request path's part of a status.
     pub fn status(&self, status: &mut Status) {
         status.service.clone_from(&self.local.service);
+        status.busy = self.running.len();
+        status.queued = self.queue.len();
+        status.limit = self.limit();
+        status.upstream = self.up;
+    }
+
+    fn limit(&self) -> usize {
+        usize::from(self.local.slots)
     }
 }
