Run non-idempotent requests with a key at most once per scope

A repeated payment ran again. The owner now records idempotency keys per generation of its memory, replays small answers, and answers may-have-run for a scope whose generation is gone. For services without keys the scope selects the node.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -22,6 +22,7 @@
 use crate::status::Status;
 use crate::verdict::Reason;
 
+pub mod dedupe;
 mod flow;
 pub mod retry;
 
@@ -175,6 +176,7 @@
     /// The upstream is reachable.
     up: bool,
     retries: retry::Budget,
+    dedupe: dedupe::Dedupe,
     random: Pcg64Mcg,
 }
 
@@ -182,7 +184,9 @@
     /// A node without requests. `seed` seeds random choices.
     #[must_use]
     pub fn new(local: Local, seed: u64, _now: Millis) -> Self {
+        let limits = dedupe::Limits::default();
         Self {
+            dedupe: dedupe::Dedupe::new(local.incarnation, limits),
             local,
             entries: Slab::new(),
             tickets: HashMap::new(),
--- a/crates/core/src/request/flow.rs
+++ b/crates/core/src/request/flow.rs
@@ -9,10 +9,12 @@
 
 use crate::clock::{Millis, TICK};
 use crate::config::Service;
+use crate::control::MapMember;
 use crate::effect::Effect;
 use crate::event::{Arrival, Outcome, Source};
 use crate::group::Grant;
-use crate::id::{KeyHash, NodeAddr, Shard, Ticket};
+use crate::id::{Incarnation, KeyHash, NodeAddr, Shard, Ticket};
+use crate::request::dedupe::{Ask, End, Opened, malformed_scope, parse_scope};
 use crate::request::retry::pause;
 use crate::request::{Requests, View};
 use crate::route::Lookup;
@@ -28,6 +30,10 @@
 /// Requests that may wait for the upstream, per slot of its limit.
 const QUEUE_PER_SLOT: usize = 2;
 
+/// Time for which a request waits for the node of its idempotency scope, in
+/// milliseconds: a new ingress knows only some groups' maps at first.
+const SCOPE_WAIT: u64 = 500;
+
 /// Suggested pause of a caller that was refused for load, in milliseconds.
 const RETRY_AFTER: u32 = 100;
 
@@ -65,6 +71,8 @@
     ran: bool,
     /// The peer that failed last; not asked again without a pause.
     avoid: Option<NodeAddr>,
+    /// The record of its idempotency key at this process.
+    ask: Option<Ask>,
 }
 
 impl Entry {
@@ -75,6 +83,15 @@
             _ => None,
         }
     }
+
+    /// The idempotency scope, if the request is subject to one.
+    fn scope(&self) -> Option<&str> {
+        let head = &self.head;
+        if head.idempotent || head.token.is_none() {
+            return None;
+        }
+        head.scope.as_deref()
+    }
 }
 
 impl Requests {
@@ -110,6 +127,7 @@
             failures: 0,
             ran: false,
             avoid: None,
+            ask: None,
         });
         self.tickets.insert(ticket, id);
         self.deadlines.insert((deadline, id));
@@ -203,6 +221,11 @@
             return;
         }
         let members = view.routes.members(service, spec, now, out);
+        if let Some(scope) = entry.scope() {
+            let scope = parse_scope(scope);
+            self.place_scoped(id, scope, &members, own, now, out);
+            return;
+        }
         let here = self.local.addr;
         let usable: Vec<NodeAddr> = members
             .iter()
@@ -221,6 +244,45 @@
         }
     }
 
+    /// Places a request at the node whose memory its idempotency scope
+    /// names.
+    fn place_scoped(
+        &mut self,
+        id: usize,
+        scope: Option<(Incarnation, u32)>,
+        members: &[MapMember],
+        own: bool,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some((node, _)) = scope else {
+            self.refuse(id, malformed_scope(), out);
+            return;
+        };
+        if own && node == self.local.incarnation {
+            self.admit(id, None, now, out);
+            return;
+        }
+        let entry = &self.entries[id];
+        let member = members.iter().find(|m| m.incarnation == node);
+        let arrived = entry.deadline.0.saturating_sub(entry.head.budget);
+        match member.map(|m| m.addr) {
+            Some(to) if Some(to) == entry.avoid || to == self.local.addr => {
+                self.hold(id, Reason::NoOwner, now, out);
+            }
+            Some(to) => self.forward(id, to, now, out),
+            None if now.since(Millis(arrived)) < SCOPE_WAIT => {
+                self.hold(id, Reason::NoOwner, now, out);
+            }
+            None => {
+                let detail = "the node of this idempotency scope is gone; \
+                    check whether the request ran, then use a new key";
+                let refusal = Refusal::new(Reason::ScopeUnknown, detail);
+                self.refuse(id, refusal, out);
+            }
+        }
+    }
+
     /// Lets a request wait for an owner; a peer's request is refused, since
     /// its ingress waits.
     fn hold(
@@ -282,6 +344,9 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
+        if self.ran_before(id, out) {
+            return;
+        }
         if !self.up {
             let detail = "the upstream is down";
             let refusal = Refusal::new(Reason::ConnectFailed, detail);
@@ -302,6 +367,34 @@
         self.queue.insert((entry.deadline, id));
     }
 
+    /// Ends a request whose idempotency key is known or cannot be checked.
+    fn ran_before(&mut self, id: usize, out: &mut Vec<Effect>) -> bool {
+        let entry = &mut self.entries[id];
+        let head = &entry.head;
+        let Some(token) = &head.token else { return false };
+        if head.idempotent {
+            return false;
+        }
+        let ask = Ask {
+            id: Ask::id(token, head.partner.as_deref(), head.key),
+            fingerprint: head.fingerprint,
+            ticket: head.ticket,
+        };
+        match self.dedupe.open(ask, head.scope.as_deref(), out) {
+            Opened::Run => {
+                entry.ask = Some(ask);
+                return false;
+            }
+            Opened::Replay { of } => {
+                self.finish(id);
+                let scope = Some(self.dedupe.scope().to_owned());
+                out.push(Effect::Replay { ticket: ask.ticket, of, scope });
+            }
+            Opened::Refuse(refusal) => self.refuse(id, refusal, out),
+        }
+        true
+    }
+
     /// Gives a request to the upstream.
     fn dispatch(
         &mut self,
@@ -382,7 +475,8 @@
         }
         match outcome {
             Outcome::Answered { .. } => {
-                self.finish(id);
+                let entry = self.finish(id);
+                self.close(&entry, End::MayHaveRun, out);
                 // The owner named its scope in the forwarded answer.
                 let scope = None;
                 out.push(Effect::Answer { ticket, attempt: number, scope });
@@ -410,9 +504,11 @@
         }
         self.leave_upstream(id, now);
         match outcome {
-            Outcome::Answered { .. } => {
-                self.finish(id);
-                out.push(Effect::Answer { ticket, attempt: 0, scope: None });
+            Outcome::Answered { size, .. } => {
+                let entry = self.finish(id);
+                self.close(&entry, End::Answered { size }, out);
+                let scope = Some(self.dedupe.scope().to_owned());
+                out.push(Effect::Answer { ticket, attempt: 0, scope });
             }
             Outcome::Failed(refusal) => {
                 self.failed(id, refusal, view, now, out);
@@ -643,9 +739,21 @@
         if entry.ran {
             refusal.verdict = Verdict::MayHaveRun;
         }
+        let end = match refusal.verdict {
+            Verdict::NotRun => End::NotRun,
+            Verdict::MayHaveRun => End::MayHaveRun,
+        };
+        self.close(&entry, end, out);
         out.push(Effect::Refuse { ticket: entry.head.ticket, refusal });
     }
 
+    /// Records how a request with an idempotency key ended.
+    fn close(&mut self, entry: &Entry, end: End, out: &mut Vec<Effect>) {
+        if let Some(ask) = entry.ask {
+            self.dedupe.close(ask, end, out);
+        }
+    }
+
     /// Forgets a request.
     fn finish(&mut self, id: usize) -> Entry {
         let entry = self.entries.remove(id);
