Add stand-ins for the object store and upstreams

Tests and experiments need the store's conditional updates, watches and lost answers, and upstreams with slots, cold starts, stalls, crashes and fences, without outside servers.

The connection's reader stays active while a request is answered, so that a closed connection cancels the work. Selecting on the decoder itself was ruled out: dropping its read future loses the bytes that it had buffered.

--- a/crates/standin/src/bin/standin-store.rs
+++ b/crates/standin/src/bin/standin-store.rs
@@ -1,2 +1,32 @@
-//! Bootstrap.
-fn main() {}
+//! The object store's stand-in as a program.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use monoio::net::TcpListener;
+
+/// Runs an in-memory object store for tests.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options)]
+struct Options {
+    /// Address to listen on
+    #[bpaf(argument("ADDR"))]
+    listen: SocketAddr,
+    /// Seed of the spread of delays
+    #[bpaf(argument("N"), fallback(0))]
+    seed: u64,
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    let end = lagoondyke_standin::block_on(async {
+        let listener = TcpListener::bind(options.listen)?;
+        lagoondyke_standin::store::run(listener, options.seed).await
+    });
+    if let Err(e) = end {
+        eprintln!("standin-store: {}: {e}", options.listen);
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/standin/tests/upstream.rs
@@ -0,0 +1,249 @@
+//! Contract of an upstream: slots, cold start, fences, cancellation.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::Method;
+use lagoondyke_standin::block_on;
+use lagoondyke_standin::client::{CallError, Client, call_once};
+use lagoondyke_standin::process::{Process, free_addr};
+use lagoondyke_standin::server::Reply;
+use lagoondyke_standin::time::{monotonic_ms, sleep_ms};
+use lagoondyke_standin::upstream::{self, Load, Options, Outcome, Run, Runs};
+
+/// Bound of a call that must be answered, in milliseconds.
+const LIMIT: u64 = 20_000;
+
+type Answer = Result<Reply, CallError>;
+
+/// Runs a test with a bound, so that one that waits in vain fails.
+fn run(test: impl Future<Output = ()>) {
+    let bound = Duration::from_millis(3 * LIMIT);
+    block_on(async { monoio::time::timeout(bound, test).await })
+        .expect("the test did not end in time");
+}
+
+async fn call(
+    addr: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<bytes::Bytes>,
+) -> Answer {
+    call_once(addr, method, path, headers, body, LIMIT).await
+}
+
+async fn runs(addr: SocketAddr) -> Vec<Run> {
+    let reply = call(addr, Method::GET, "/admin/runs", &[], "").await;
+    reply.unwrap().parse::<Runs>().unwrap().runs.into()
+}
+
+async fn set(addr: SocketAddr, path: &str, body: impl Into<bytes::Bytes>) {
+    let reply = call(addr, Method::PUT, path, &[], body).await.unwrap();
+    assert!(reply.is(204), "{path}: {reply:?}");
+}
+
+async fn load(addr: SocketAddr) -> Load {
+    let reply = call(addr, Method::GET, "/admin/load", &[], "").await;
+    reply.unwrap().parse().unwrap()
+}
+
+/// Sends `n` requests while the upstream is stalled, lifts the stall when
+/// each runs, waits or is refused, and returns how many ran at once and how
+/// many were refused.
+async fn burst(addr: SocketAddr, n: usize) -> (usize, usize) {
+    set(addr, "/admin/stall", format!(r#"{{"ms": {LIMIT}}}"#)).await;
+    let full = Rc::new(Cell::new(0));
+    let mut calls = Vec::new();
+    for _ in 0..n {
+        let full = Rc::clone(&full);
+        calls.push(monoio::spawn(async move {
+            let reply = call(addr, Method::POST, "/x", &[], "").await;
+            let code = reply.unwrap().code();
+            full.set(full.get() + usize::from(code == 503));
+            assert!(code == 200 || code == 503, "{code}");
+        }));
+    }
+    let busy = loop {
+        let load = load(addr).await;
+        if load.busy + load.queued + full.get() == n {
+            break load.busy;
+        }
+        sleep_ms(2).await;
+    };
+    set(addr, "/admin/stall", r#"{"ms": 0}"#).await;
+    for call in calls {
+        call.await;
+    }
+    (busy, full.get())
+}
+
+/// Guards against answers that are mixed up and runs that go unrecorded.
+#[test]
+fn echo_and_record() {
+    run(async {
+        let options = Options { name: "u1".into(), ..Options::default() };
+        let addr = upstream::start(options).unwrap();
+        let mut client = Client::connect(addr).await.unwrap();
+        for n in 1..=3_u64 {
+            let (id, body) = (format!("id-{n}"), format!("body {n}"));
+            let headers = [("x-request-id", &*id), ("lagoondyke-key", "k")];
+            let reply = client
+                .call(Method::POST, "/orders", &headers, body.clone())
+                .await
+                .unwrap();
+            assert_eq!((reply.code(), &reply.body[..]), (200, body.as_ref()));
+            assert_eq!(reply.header("x-upstream"), Some("u1"));
+            assert_eq!(reply.header("x-sequence"), Some(&*n.to_string()));
+        }
+        let runs = runs(addr).await;
+        let ids: Vec<_> = runs.iter().map(|r| &*r.id).collect();
+        assert_eq!(ids, ["id-1", "id-2", "id-3"]);
+        for run in runs {
+            assert_eq!((&*run.key, run.outcome), ("k", Outcome::Completed));
+            assert!(run.end.unwrap() >= run.start);
+        }
+    });
+}
+
+/// Guards against an upstream that runs more at once than its slots, which
+/// would hide an admission fault.
+#[test]
+fn slots_and_queue_bound_work() {
+    let table = [
+        // slots, queue, cold, requests, at once, refused
+        (3, 4, false, 7, 3, 0),
+        (3, 4, false, 12, 3, 5),
+        (3, 4, true, 7, 1, 2),
+    ];
+    for (slots, queue, cold, sent, at_once, refused) in table {
+        let case = format!("{slots} slots, queue {queue}, cold {cold}");
+        run(async {
+            let addr = upstream::start(Options {
+                slots,
+                queue,
+                cold_ms: if cold { LIMIT } else { 0 },
+                ..Options::default()
+            })
+            .unwrap();
+            let seen = burst(addr, sent).await;
+            assert_eq!(seen, (at_once, refused), "{case}");
+        });
+    }
+}
+
+/// Guards against a cold phase that never ends or cannot begin again.
+#[test]
+fn cold_phase_begins_and_ends() {
+    run(async {
+        let addr =
+            upstream::start(Options { cold_ms: LIMIT, ..Options::default() })
+                .unwrap();
+        let table = [("", 1), (r#"{"ms": 0}"#, 3), ("", 1)];
+        for (cold, at_once) in table {
+            set(addr, "/admin/cold", cold).await;
+            assert_eq!(burst(addr, 3).await, (at_once, 0), "{cold}");
+        }
+    });
+}
+
+/// Guards against an upstream that runs work of a former owner.
+#[test]
+fn fences() {
+    let grant = |span: u64, shards: &str| {
+        let until = monotonic_ms() + span;
+        format!(r#"{{"until": {until}, "shards": {shards}}}"#)
+    };
+    let table = [
+        ("no grant", None, "7", "2.5", 412),
+        ("granted", Some(grant(LIMIT, "[[7,2,5]]")), "7", "2.5", 200),
+        ("other shard", None, "8", "2.5", 412),
+        ("newer than granted", None, "7", "2.6", 412),
+        ("malformed", None, "7", "2", 412),
+        ("new grant", Some(grant(LIMIT, "[[7,3,1]]")), "7", "3.1", 200),
+        ("older than seen", None, "7", "2.5", 412),
+        ("withdrawn", Some(grant(LIMIT, "[[8,3,1]]")), "7", "3.1", 412),
+        ("expired", Some(grant(0, "[[7,3,1]]")), "7", "3.1", 412),
+    ];
+    run(async {
+        let options = Options { fenced: true, ..Options::default() };
+        let addr = upstream::start(options).unwrap();
+        for (case, grant, shard, fence, code) in table {
+            if let Some(body) = grant {
+                set(addr, "/lagoondyke/grants", body).await;
+            }
+            let headers =
+                [("lagoondyke-shard", shard), ("lagoondyke-fence", fence)];
+            let reply = call(addr, Method::POST, "/x", &headers, "").await;
+            assert_eq!(reply.unwrap().code(), code, "{case}");
+        }
+        let old = grant(LIMIT, "[[7,2,9]]");
+        let path = "/lagoondyke/grants";
+        let reply = call(addr, Method::PUT, path, &[], old).await.unwrap();
+        assert!(reply.is(412), "an older grant is refused");
+        assert_eq!(runs(addr).await.len(), 2);
+    });
+}
+
+/// Guards against work that continues after its caller went away or its
+/// deadline passed.
+#[test]
+fn cancellation_and_deadline() {
+    run(async {
+        let addr = upstream::start(Options::default()).unwrap();
+        set(addr, "/admin/stall", format!(r#"{{"ms": {LIMIT}}}"#)).await;
+        let deadline = [("lagoondyke-deadline", "50")];
+        let reply = call(addr, Method::POST, "/x", &deadline, "").await;
+        assert!(reply.unwrap().is(504));
+        let running = async {
+            while load(addr).await.busy == 0 {
+                sleep_ms(2).await;
+            }
+        };
+        monoio::select! {
+            answer = call(addr, Method::POST, "/x", &[], "") => {
+                panic!("answered while stalled: {answer:?}");
+            }
+            () = running => {}
+        }
+        let cancelled = |r: &Run| r.outcome == Outcome::Cancelled;
+        loop {
+            let runs = runs(addr).await;
+            if runs.len() == 2 && runs.iter().all(cancelled) {
+                break;
+            }
+            sleep_ms(5).await;
+        }
+    });
+}
+
+/// Guards against a program that crashes on other requests, or does not
+/// crash, and against a helper that leaves the program frozen.
+#[test]
+fn process_crashes_freezes_and_resumes() {
+    let path = Path::new(env!("CARGO_BIN_EXE_standin-upstream"));
+    let addr = free_addr().unwrap();
+    let args = ["--listen", &addr.to_string(), "--crash-on", "M"];
+    let limit = Duration::from_millis(LIMIT);
+    let mut process = Process::start(path, args, addr, limit).unwrap();
+    run(async {
+        let other = [("x-crash", "other")];
+        assert!(call(addr, Method::GET, "/", &other, "").await.unwrap().ok());
+        process.stop().unwrap();
+        let frozen = call_once(addr, Method::GET, "/", &[], "", 100).await;
+        assert_eq!(frozen.unwrap_err(), CallError::Timeout);
+        process.resume().unwrap();
+        assert!(call(addr, Method::GET, "/", &[], "").await.unwrap().ok());
+        let crash = [("x-crash", "M")];
+        let lost = call(addr, Method::GET, "/", &crash, "").await;
+        assert!(matches!(lost, Err(CallError::Lost(_))), "{lost:?}");
+    });
+    let end = monotonic_ms() + LIMIT;
+    while process.status().unwrap().is_none() {
+        assert!(monotonic_ms() < end, "the program did not exit");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
