Record upstream runs in a file that survives a kill

A checker for two owners needs the runs of killed upstreams, which the admin call cannot give. Each run appends one line at its start and one at its end, each by a single write.

--- a/crates/standin/src/bin/standin-upstream.rs
+++ b/crates/standin/src/bin/standin-upstream.rs
@@ -1,6 +1,7 @@
 //! The upstream's stand-in as a program.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
@@ -48,6 +49,9 @@
     /// Seed of the spread of service times
     #[bpaf(argument("N"), fallback(0))]
     seed: u64,
+    /// File that runs are appended to
+    #[bpaf(argument("FILE"))]
+    record: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -65,6 +69,7 @@
         zombie_check: a.zombie_check,
         crash_on: a.crash_on,
         seed: a.seed,
+        record: a.record,
     };
     let end = lagoondyke_standin::block_on(async {
         let listener = TcpListener::bind(a.listen)?;
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::os::fd::{AsRawFd, RawFd};
 
 use bytes::Bytes;
 use http::header::{HeaderName, HeaderValue};
@@ -46,6 +47,7 @@
 /// A connection that carries one call at a time.
 pub struct Client {
     addr: SocketAddr,
+    fd: RawFd,
     encoder: GenericEncoder<TcpOwnedWriteHalf>,
     decoder: ResponseDecoder<TcpOwnedReadHalf>,
 }
@@ -69,14 +71,32 @@
             .await
             .map_err(|e| CallError::Connect(e.to_string()))?;
         let _ = stream.set_nodelay(true);
+        let fd = stream.as_raw_fd();
         let (read, write) = stream.into_split();
         Ok(Self {
             addr,
+            fd,
             encoder: GenericEncoder::new(write),
             decoder: ResponseDecoder::new(read),
         })
     }
 
+    /// Whether an idle connection is still open. The peer may close it at
+    /// any later time.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        let mut byte = 0_u8;
+        let flags = libc::MSG_PEEK | libc::MSG_DONTWAIT;
+        // SAFETY: the descriptor is open while the halves exist, and the
+        // buffer is valid for one byte.
+        let n =
+            unsafe { libc::recv(self.fd, (&raw mut byte).cast(), 1, flags) };
+        let error = std::io::Error::last_os_error();
+        // An idle connection has nothing to read; data or an end mean that
+        // the peer gave it up.
+        n < 0 && error.kind() == std::io::ErrorKind::WouldBlock
+    }
+
     /// Sends a request and reads the whole answer. After an error the
     /// connection is of no further use.
     ///
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -10,8 +10,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
-use std::io;
+use std::fs::File;
+use std::io::{self, Write};
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 
@@ -75,6 +77,9 @@
     pub crash_on: Option<String>,
     /// Seed of the spread of service times.
     pub seed: u64,
+    /// File that runs are appended to, so that a checker sees the runs of a
+    /// killed process; see [`read_record`].
+    pub record: Option<PathBuf>,
 }
 
 impl Default for Options {
@@ -92,6 +97,7 @@
             zombie_check: false,
             crash_on: None,
             seed: 0,
+            record: None,
         }
     }
 }
@@ -180,6 +186,52 @@
     pub queued: usize,
     /// Requests that may run at once.
     pub slots: usize,
+    /// Requests refused because the queue was full.
+    #[serde(default)]
+    pub refused: u64,
+    /// Overloads during a cold phase.
+    #[serde(default)]
+    pub collapses: u64,
+}
+
+/// A line of the record file.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum Line {
+    /// A run began.
+    Start { process: u32, number: u64, run: Run },
+    /// A run ended.
+    End { process: u32, number: u64, end: u64, outcome: Outcome },
+}
+
+/// Reads the runs that an upstream appended to its record file. A last line
+/// that was cut off by a kill is ignored.
+///
+/// # Errors
+///
+/// Returns an error if the file cannot be read or has a malformed line.
+pub fn read_record(path: &Path) -> io::Result<Vec<Run>> {
+    let text = std::fs::read_to_string(path)?;
+    let whole = text.rfind('\n').map_or("", |end| &text[..end]);
+    let mut runs = Vec::new();
+    let mut places = BTreeMap::new();
+    for line in whole.lines() {
+        match serde_json::from_str(line)? {
+            Line::Start { process, number, run } => {
+                places.insert((process, number), runs.len());
+                runs.push(run);
+            }
+            Line::End { process, number, end, outcome } => {
+                let Some(&place) = places.get(&(process, number)) else {
+                    continue;
+                };
+                let run: &mut Run = &mut runs[place];
+                run.end = Some(end);
+                run.outcome = outcome;
+            }
+        }
+    }
+    Ok(runs)
 }
 
 /// An upstream. All state is in memory and belongs to one thread.
@@ -199,6 +251,9 @@
     highest: RefCell<BTreeMap<u16, (u32, u32)>>,
     loads: RefCell<VecDeque<(u64, Load)>>,
     sequence: Cell<u64>,
+    refused: Cell<u64>,
+    collapses: Cell<u64>,
+    record: Option<RefCell<File>>,
     rng: RefCell<Pcg64Mcg>,
 }
 
@@ -206,9 +261,10 @@
 ///
 /// # Errors
 ///
-/// Returns the listener's error if it cannot be used any more.
+/// Returns an error if the record file cannot be opened or the listener
+/// cannot be used any more.
 pub async fn run(listener: TcpListener, options: Options) -> io::Result<()> {
-    let upstream = Rc::new(Upstream::new(options));
+    let upstream = Rc::new(Upstream::new(options)?);
     monoio::spawn(sample_load(Rc::clone(&upstream)));
     serve(listener, upstream).await
 }
@@ -235,10 +291,21 @@
 
 impl Upstream {
     /// An upstream that starts cold if its options say so.
-    #[must_use]
-    pub fn new(options: Options) -> Self {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the record file cannot be opened.
+    pub fn new(options: Options) -> io::Result<Self> {
         let name = options.name.clone();
-        Self {
+        let record = match &options.record {
+            Some(path) => {
+                let mut open = File::options();
+                let file = open.create(true).append(true).open(path)?;
+                Some(RefCell::new(file))
+            }
+            None => None,
+        };
+        Ok(Self {
             busy: Cell::default(),
             connections: Cell::default(),
             cold_until: Cell::new(monotonic_ms() + options.cold_ms),
@@ -252,9 +319,22 @@
             highest: RefCell::default(),
             loads: RefCell::default(),
             sequence: Cell::default(),
+            refused: Cell::default(),
+            collapses: Cell::default(),
+            record,
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(options.seed)),
             options,
-        }
+        })
+    }
+
+    /// Appends a line to the record file, if there is one.
+    fn write_record(&self, line: impl FnOnce() -> Line) {
+        let Some(file) = &self.record else { return };
+        let mut text = serde_json::to_vec(&line()).expect("a line encodes");
+        text.push(b'\n');
+        // One write call per line, so that a kill cannot lose a whole one.
+        // A checker would accuse the router if runs were missing.
+        file.borrow_mut().write_all(&text).expect("record is writable");
     }
 
     fn cold(&self) -> bool {
@@ -274,6 +354,8 @@
             busy: self.busy.get(),
             queued: self.queue.borrow().len(),
             slots: self.slots(),
+            refused: self.refused.get(),
+            collapses: self.collapses.get(),
         }
     }
 
@@ -291,7 +373,9 @@
     /// Waits for a slot in order of arrival; `None` if the queue is full.
     async fn slot(&self) -> Option<Slot<'_>> {
         if self.queue.borrow().len() >= self.options.queue {
+            self.refused.set(self.refused.get() + 1);
             if self.cold() {
+                self.collapses.set(self.collapses.get() + 1);
                 // Work beyond a cold upstream's reach sets it back.
                 let now = monotonic_ms();
                 self.collapsed_until.set(now + COLLAPSE_SPAN);
@@ -458,8 +542,7 @@
 
     fn begin(&self, call: &Call) -> RunGuard<'_> {
         let text = |name| call.header(name).unwrap_or("").to_owned();
-        let mut runs = self.runs.borrow_mut();
-        runs.runs.push_back(Run {
+        let run = Run {
             id: text("x-request-id"),
             key: text("lagoondyke-key"),
             shard: number(call.header("lagoondyke-shard")),
@@ -467,8 +550,15 @@
             start: monotonic_ms(),
             end: None,
             outcome: Outcome::Running,
+        };
+        let mut runs = self.runs.borrow_mut();
+        let number = runs.dropped + runs.runs.len() as u64;
+        self.write_record(|| Line::Start {
+            process: std::process::id(),
+            number,
+            run: run.clone(),
         });
-        let number = runs.dropped + runs.runs.len() as u64 - 1;
+        runs.runs.push_back(run);
         if runs.runs.len() > RUNS_MAX {
             runs.runs.pop_front();
             runs.dropped += 1;
@@ -582,13 +672,21 @@
 
 impl Drop for RunGuard<'_> {
     fn drop(&mut self) {
+        let (number, outcome) = (self.number, self.outcome);
+        let end = monotonic_ms();
+        self.upstream.write_record(|| Line::End {
+            process: std::process::id(),
+            number,
+            end,
+            outcome,
+        });
         let mut runs = self.upstream.runs.borrow_mut();
-        let Some(index) = self.number.checked_sub(runs.dropped) else {
+        let Some(index) = number.checked_sub(runs.dropped) else {
             return;
         };
         if let Some(run) = runs.runs.get_mut(index as usize) {
-            run.end = Some(monotonic_ms());
-            run.outcome = self.outcome;
+            run.end = Some(end);
+            run.outcome = outcome;
         }
     }
 }
--- a/crates/standin/tests/upstream.rs
+++ b/crates/standin/tests/upstream.rs
@@ -220,6 +220,39 @@
     });
 }
 
+/// Guards against runs that a kill removes from the record: a checker would
+/// then miss two owners of a key.
+#[test]
+fn record_survives_a_kill() {
+    let path = Path::new(env!("CARGO_BIN_EXE_standin-upstream"));
+    let name = format!("standin-record-{}", std::process::id());
+    let record = std::env::temp_dir().join(name);
+    let addr = free_addr().unwrap();
+    let file = record.to_str().unwrap();
+    let args = ["--listen", &addr.to_string(), "--record", file];
+    let limit = Duration::from_millis(LIMIT);
+    let mut process = Process::start(path, args, addr, limit).unwrap();
+    run(async {
+        let id = [("x-request-id", "done")];
+        assert!(call(addr, Method::GET, "/", &id, "").await.unwrap().ok());
+        set(addr, "/admin/stall", format!(r#"{{"ms": {LIMIT}}}"#)).await;
+        let cut = [("x-request-id", "cut")];
+        let lost = monoio::spawn(async move {
+            call(addr, Method::GET, "/", &cut, "").await
+        });
+        while load(addr).await.busy == 0 {
+            sleep_ms(2).await;
+        }
+        process.kill().unwrap();
+        assert!(matches!(lost.await, Err(CallError::Lost(_))));
+    });
+    let runs = upstream::read_record(&record).unwrap();
+    std::fs::remove_file(&record).unwrap();
+    let seen: Vec<_> = runs.iter().map(|r| (&*r.id, r.outcome)).collect();
+    let expected = [("done", Outcome::Completed), ("cut", Outcome::Running)];
+    assert_eq!(seen, expected);
+}
+
 /// Guards against a program that crashes on other requests, or does not
 /// crash, and against a helper that leaves the program frozen.
 #[test]
