Add the load tool and its experiments

Latency counts from the intended send time. The runtime's timers have millisecond steps, so a pacing thread wakes the load thread through a socket; spinning on the runtime was ruled out because its timers do not fire while a task is always ready.

A checker compares what callers were told with the upstreams' records: overlapping runs of a key, fences that go back, double runs, answers without a run, not-run refusals that ran. Bounds are those of the design page.

The experiments have not run yet: they need lagoondyked.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,15 @@
+//! Load tool and failure experiments.
+//!
+//! Load is open loop: requests are sent at their intended times whether or
+//! not earlier ones were answered, and latency counts from the intended
+//! time. Each experiment starts its processes on loopback, compares the
+//! records of callers and upstreams, and checks bounds that come from the
+//! design page, never from measured figures.
+
+pub mod check;
+pub mod cluster;
+pub mod experiments;
+pub mod load;
+pub mod pool;
+pub mod report;
+pub mod usage;
--- /dev/null
+++ b/crates/bench/src/report.rs
@@ -0,0 +1,188 @@
+//! Figures, their bounds, and how they are printed.
+
+use std::fmt::Write as _;
+
+use serde::Serialize;
+
+/// What a figure must satisfy.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Bound {
+    /// At most this value.
+    Most(f64),
+    /// At least this value.
+    Least(f64),
+}
+
+impl Bound {
+    fn holds(self, value: f64) -> bool {
+        match self {
+            Self::Most(limit) => value <= limit,
+            Self::Least(limit) => value >= limit,
+        }
+    }
+}
+
+/// One measured figure.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Figure {
+    /// What was measured.
+    pub name: String,
+    /// Its value.
+    pub value: f64,
+    /// Its unit.
+    pub unit: &'static str,
+    /// The same figure under the baseline rule.
+    pub baseline: Option<f64>,
+    /// The bound from the design page, if there is one.
+    pub bound: Option<Bound>,
+    /// Whether the bound holds.
+    pub ok: bool,
+}
+
+impl Figure {
+    /// The value divided by the baseline, if there is a baseline above 0.
+    #[must_use]
+    pub fn ratio(&self) -> Option<f64> {
+        self.baseline.filter(|&b| b > 0.0).map(|b| self.value / b)
+    }
+}
+
+/// The outcome of an experiment.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Report {
+    /// The experiment's name.
+    pub experiment: String,
+    /// The seed of its random choices.
+    pub seed: u64,
+    /// Its figures.
+    pub figures: Vec<Figure>,
+    /// Remarks, such as what could not be measured.
+    pub notes: Vec<String>,
+}
+
+impl Report {
+    /// A report without figures.
+    #[must_use]
+    pub fn new(experiment: impl Into<String>, seed: u64) -> Self {
+        Self {
+            experiment: experiment.into(),
+            seed,
+            figures: Vec::new(),
+            notes: Vec::new(),
+        }
+    }
+
+    fn push(
+        &mut self,
+        name: impl Into<String>,
+        value: f64,
+        unit: &'static str,
+        baseline: Option<f64>,
+        bound: Option<Bound>,
+    ) {
+        let ok = bound.is_none_or(|b| b.holds(value));
+        let name = name.into();
+        self.figures.push(Figure { name, value, unit, baseline, bound, ok });
+    }
+
+    /// Adds a figure without a bound.
+    pub fn show(
+        &mut self,
+        name: impl Into<String>,
+        value: f64,
+        unit: &'static str,
+    ) {
+        self.push(name, value, unit, None, None);
+    }
+
+    /// Adds a figure that is compared with a baseline.
+    pub fn compare(
+        &mut self,
+        name: impl Into<String>,
+        value: f64,
+        unit: &'static str,
+        baseline: f64,
+    ) {
+        self.push(name, value, unit, Some(baseline), None);
+    }
+
+    /// Adds a figure with a bound.
+    pub fn bound(
+        &mut self,
+        name: impl Into<String>,
+        value: f64,
+        unit: &'static str,
+        bound: Bound,
+    ) {
+        self.push(name, value, unit, None, Some(bound));
+    }
+
+    /// Adds a figure with a baseline and a bound.
+    pub fn compare_bound(
+        &mut self,
+        name: impl Into<String>,
+        value: f64,
+        unit: &'static str,
+        baseline: f64,
+        bound: Bound,
+    ) {
+        self.push(name, value, unit, Some(baseline), Some(bound));
+    }
+
+    /// Adds a remark.
+    pub fn note(&mut self, text: impl Into<String>) {
+        self.notes.push(text.into());
+    }
+
+    /// Whether all bounds hold.
+    #[must_use]
+    pub fn ok(&self) -> bool {
+        self.figures.iter().all(|f| f.ok)
+    }
+
+    /// The figures as a table.
+    #[must_use]
+    pub fn table(&self) -> String {
+        let mut text = String::new();
+        let title = format!("{} (seed {})", self.experiment, self.seed);
+        let _ = writeln!(text, "{title}");
+        let _ = writeln!(
+            text,
+            "{:<40} {:>10} {:<6} {:>10} {:>6}  bound",
+            "figure", "value", "unit", "baseline", "ratio"
+        );
+        for f in &self.figures {
+            let baseline = f.baseline.map_or(String::new(), number);
+            let ratio = f.ratio().map_or(String::new(), |r| format!("{r:.2}"));
+            let bound = match f.bound {
+                None => String::new(),
+                Some(Bound::Most(b)) => format!("<= {}", number(b)),
+                Some(Bound::Least(b)) => format!(">= {}", number(b)),
+            };
+            let fail = if f.ok { "" } else { "  FAILED" };
+            let line = format!(
+                "{:<40} {:>10} {:<6} {:>10} {:>6}  {bound}{fail}",
+                f.name,
+                number(f.value),
+                f.unit,
+                baseline,
+                ratio
+            );
+            let _ = writeln!(text, "{}", line.trim_end());
+        }
+        for note in &self.notes {
+            let _ = writeln!(text, "note: {note}");
+        }
+        text
+    }
+}
+
+/// Counts without decimals, other figures with three.
+fn number(value: f64) -> String {
+    if value.fract() == 0.0 && value.abs() < 1e12 {
+        format!("{value:.0}")
+    } else {
+        format!("{value:.3}")
+    }
+}
