Add the node's shell with store, upstream, peer and caller adapters

The reducer needs a process that turns sockets and timers into events and performs its effects. The shell runs one thread on monoio's legacy driver; store, upstream, peers and control stand behind traits, so that tests and other wire formats supply only an adapter.

Ruled out: the IO-bound encoder and decoder of monoio-http, since they bound neither heads nor bodies; its head and chunk decoders are used on our own buffer. Close-delimited answers are refused as cut off, since their end cannot be told from a cut.

--- /dev/null
+++ b/crates/node/src/control.rs
@@ -0,0 +1,81 @@
+//! Control datagrams over UDP.
+
+use std::fmt;
+use std::io;
+use std::rc::Rc;
+
+use lagoondyke_core::control::{Control as Message, DATAGRAM_MAX};
+use lagoondyke_core::event::Event;
+use lagoondyke_core::id::NodeAddr;
+use local_sync::mpsc::unbounded::{self, Tx};
+use monoio::net::udp::UdpSocket;
+
+use crate::ports::Control;
+use crate::shell::Shell;
+
+/// The node's UDP socket.
+pub struct Udp {
+    socket: Rc<UdpSocket>,
+    queue: Tx<(NodeAddr, Vec<u8>)>,
+}
+
+impl fmt::Debug for Udp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Udp")
+            .field("socket", &self.socket)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Udp {
+    /// Sends through `socket`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the socket cannot be registered with the driver.
+    pub fn new(socket: std::net::UdpSocket) -> io::Result<Self> {
+        socket.set_nonblocking(true)?;
+        let socket = Rc::new(UdpSocket::from_std(socket)?);
+        let (queue, mut due) = unbounded::channel::<(NodeAddr, Vec<u8>)>();
+        let sender = Rc::clone(&socket);
+        monoio::spawn(async move {
+            while let Some((to, bytes)) = due.recv().await {
+                // A datagram that cannot be sent is repeated by the protocol.
+                let _ = sender.send_to(bytes, to.0).await;
+            }
+        });
+        Ok(Self { socket, queue })
+    }
+
+    /// Passes arriving datagrams to `shell` until the process ends.
+    pub fn listen(&self, shell: &Shell) {
+        let socket = Rc::clone(&self.socket);
+        let shell = shell.clone();
+        monoio::spawn(async move {
+            // One byte above the limit, so that a longer datagram is seen
+            // to be oversized rather than cut to a valid length.
+            let mut buf = vec![0; DATAGRAM_MAX + 1];
+            loop {
+                let (result, back) = socket.recv_from(buf).await;
+                buf = back;
+                // An ICMP error of an earlier send is reported here.
+                let Ok((size, from)) = result else { continue };
+                receive(&shell, NodeAddr(from), &buf[..size]);
+            }
+        });
+    }
+}
+
+fn receive(shell: &Shell, from: NodeAddr, bytes: &[u8]) {
+    match Message::decode(bytes) {
+        Ok(message) => shell.post(Event::Datagram { from, message }),
+        Err(error) => shell.malformed("control", &error),
+    }
+}
+
+impl Control for Udp {
+    fn send(&self, to: NodeAddr, message: &Message) {
+        let Ok(bytes) = message.encode() else { return };
+        let _ = self.queue.send((to, bytes));
+    }
+}
--- /dev/null
+++ b/crates/node/src/frames.rs
@@ -0,0 +1,212 @@
+//! Peer frames on a stream, and their conversion to requests and answers.
+
+use std::io;
+use std::os::fd::AsRawFd;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::{Method, StatusCode};
+use lagoondyke_core::clock::Millis;
+use lagoondyke_core::peer::{
+    AnswerFrame, FRAME_MAX, Frame, FrameError, RequestFrame, decode,
+};
+use monoio::buf::IoBufMut;
+use monoio::io::AsyncReadRent;
+use monoio::net::TcpStream;
+
+use crate::message::{Answer, Call};
+use crate::ports::Forward;
+
+/// Bytes that are read at once.
+const READ_SIZE: usize = 32 * 1024;
+
+/// Time after which unacknowledged bytes fail a peer connection, in
+/// milliseconds. Without it, a connection that was cut by a partition stays
+/// in retransmission for minutes after the partition has ended.
+const UNACKNOWLEDGED_LIMIT: libc::c_uint = 2_000;
+
+/// Reads frames from a stream.
+#[derive(Debug)]
+pub struct FrameReader<R> {
+    stream: R,
+    buf: BytesMut,
+}
+
+impl<R: AsyncReadRent> FrameReader<R> {
+    /// Reads from `stream`.
+    #[must_use]
+    pub fn new(stream: R) -> Self {
+        Self { stream, buf: BytesMut::new() }
+    }
+
+    /// The next frame and its body; `None` at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a frame is oversized, cut off or malformed. The
+    /// stream cannot be read on, since the next frame's start is unknown.
+    pub async fn next(
+        &mut self,
+    ) -> Result<Option<(Frame, Bytes)>, FrameError> {
+        loop {
+            if let Some(frame) = split(&mut self.buf)? {
+                return Ok(Some(frame));
+            }
+            match self.fill().await {
+                Ok(0) | Err(_) if self.buf.is_empty() => return Ok(None),
+                Ok(0) | Err(_) => return Err(FrameError::Truncated),
+                Ok(_) => {}
+            }
+        }
+    }
+
+    async fn fill(&mut self) -> io::Result<usize> {
+        let mut buf = std::mem::take(&mut self.buf);
+        if buf.capacity() - buf.len() < READ_SIZE / 4 {
+            buf.reserve(READ_SIZE);
+        }
+        let begin = buf.len();
+        let (result, slice) = self.stream.read(buf.slice_mut(begin..)).await;
+        self.buf = slice.into_inner();
+        result
+    }
+}
+
+/// Splits the first frame off `buf`, if it is complete.
+///
+/// # Errors
+///
+/// Returns an error if the frame is oversized or malformed.
+pub fn split(
+    buf: &mut BytesMut,
+) -> Result<Option<(Frame, Bytes)>, FrameError> {
+    let Some(length) = buf.first_chunk::<4>() else { return Ok(None) };
+    let size = u32::from_be_bytes(*length) as usize;
+    if size > FRAME_MAX {
+        return Err(FrameError::TooLarge { size });
+    }
+    if buf.len() < 4 + size {
+        // Room for the rest at once, rather than by repeated growth.
+        buf.reserve(4 + size - buf.len());
+        return Ok(None);
+    }
+    let bytes = buf.split_to(4 + size).freeze();
+    let (frame, body) = decode(&bytes[4..])?;
+    let body = bytes.slice_ref(body);
+    Ok(Some((frame, body)))
+}
+
+/// The frame of a request.
+#[must_use]
+pub fn request_frame(id: u64, forward: &Forward, now: Millis) -> Frame {
+    let call = &forward.call;
+    let left = forward.deadline.since(now);
+    Frame::Request(RequestFrame {
+        id,
+        service: call.service.clone(),
+        key: call.key,
+        deadline: u32::try_from(left).unwrap_or(u32::MAX),
+        idempotent: call.idempotent,
+        token: call.token.clone(),
+        scope: call.scope.clone(),
+        partner: call.partner.clone(),
+        fingerprint: call.fingerprint,
+        method: call.method.as_str().to_owned(),
+        path: call.path.clone(),
+        headers: list(&call.headers),
+        trace: forward.trace.clone(),
+    })
+}
+
+/// The request of a frame.
+///
+/// # Errors
+///
+/// Returns an error if the method or a header is not valid HTTP.
+pub fn call_of(frame: RequestFrame, body: Bytes) -> Result<Call, FrameError> {
+    let method = Method::from_bytes(frame.method.as_bytes())
+        .map_err(|_| FrameError::Malformed)?;
+    let clean = |byte: u8| byte.is_ascii_graphic();
+    if frame.path.is_empty() || !frame.path.bytes().all(clean) {
+        return Err(FrameError::Malformed);
+    }
+    Ok(Call {
+        service: frame.service,
+        key: frame.key,
+        budget: u64::from(frame.deadline),
+        idempotent: frame.idempotent,
+        token: frame.token,
+        scope: frame.scope,
+        partner: frame.partner,
+        fingerprint: frame.fingerprint,
+        method,
+        path: frame.path,
+        headers: map(frame.headers).ok_or(FrameError::Malformed)?,
+        body,
+        trace: frame.trace,
+    })
+}
+
+/// The frame of an answer.
+#[must_use]
+pub fn answer_frame(id: u64, answer: &Answer) -> Frame {
+    Frame::Answer(AnswerFrame {
+        id,
+        status: answer.status.as_u16(),
+        headers: list(&answer.headers),
+        scope: answer.scope.clone(),
+        shard: answer.shard,
+    })
+}
+
+/// The answer of a frame, by the node named `node`.
+///
+/// # Errors
+///
+/// Returns an error if the status or a header is not valid HTTP.
+pub fn answer_of(
+    frame: AnswerFrame,
+    body: Bytes,
+    node: String,
+) -> Result<Answer, FrameError> {
+    let status = StatusCode::from_u16(frame.status)
+        .map_err(|_| FrameError::Malformed)?;
+    let headers = map(frame.headers).ok_or(FrameError::Malformed)?;
+    let (scope, shard) = (frame.scope, frame.shard);
+    Ok(Answer { status, headers, body, scope, shard, node })
+}
+
+fn list(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+    let mut list = Vec::with_capacity(headers.len());
+    for (name, value) in headers {
+        list.push((name.as_str().to_owned(), value.as_bytes().to_vec()));
+    }
+    list
+}
+
+fn map(list: Vec<(String, Vec<u8>)>) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(list.len());
+    for (name, value) in list {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        let value = HeaderValue::from_maybe_shared(Bytes::from(value)).ok()?;
+        headers.try_append(name, value).ok()?;
+    }
+    Some(headers)
+}
+
+/// Bounds the time for which sent bytes may stay unacknowledged.
+pub fn user_timeout(stream: &TcpStream) {
+    let limit = UNACKNOWLEDGED_LIMIT;
+    // SAFETY: the descriptor is open while `stream` lives, and the option
+    // value is a valid integer of the size given. The result is ignored:
+    // without the option, a lost peer is only noticed later.
+    unsafe {
+        libc::setsockopt(
+            stream.as_raw_fd(),
+            libc::IPPROTO_TCP,
+            libc::TCP_USER_TIMEOUT,
+            (&raw const limit).cast(),
+            size_of_val(&limit) as libc::socklen_t,
+        );
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,26 @@
-//! Placeholder during bootstrap.
+//! The shell around the reducer of `lagoondyke-core`.
+//!
+//! One thread runs one loop on monoio's legacy driver. Adapters turn what
+//! happens on sockets and timers into events; [`shell::Shell`] passes each
+//! event to the reducer and performs the effects that it returns. The
+//! adapters stand behind the traits of [`ports`], so that another wire
+//! format or a fake in a test is only another adapter.
+
+pub mod clock;
+pub mod control;
+pub mod frames;
+mod grants;
+pub mod http;
+pub mod logs;
+pub mod message;
+pub mod ops;
+pub mod peer_server;
+pub mod peers;
+pub mod ports;
+pub mod problem;
+pub mod run;
+pub mod serve;
+pub mod shell;
+pub mod store;
+pub mod upstream;
+pub mod wire;
--- /dev/null
+++ b/crates/node/src/serve.rs
@@ -0,0 +1,399 @@
+//! The HTTP server for callers and operators.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{self, HeaderMap, HeaderName};
+use http::{Method, StatusCode, Version};
+use lagoondyke_core::event::Source;
+use lagoondyke_core::id::KeyHash;
+use lagoondyke_core::peer::BODY_MAX;
+use lagoondyke_core::verdict::{Reason, Refusal, Verdict};
+use local_sync::oneshot;
+use monoio::net::{TcpListener, TcpStream};
+use monoio::time::timeout;
+use monoio_http::common::request::RequestHead;
+
+use crate::http::COPY_MAX;
+use crate::message::{
+    Answer, Call, DEADLINE, FENCE, KEY, NODE, PARTNER, Reply, SCOPE, SERVICE,
+    SHARD, TOKEN, TRACE, fingerprint, is_idempotent, strip_hop_headers,
+};
+use crate::ops;
+use crate::problem;
+use crate::run::accept;
+use crate::shell::Shell;
+use crate::wire::{
+    Conn, WireError, keeps_alive, put_header, put_headers, put_number,
+    request_framing,
+};
+
+/// Most connections from callers at once.
+pub const CONNECTIONS_MAX: usize = 1_024;
+
+/// Time for which a connection may be idle between requests.
+const IDLE_LIMIT: Duration = Duration::from_mins(1);
+
+/// Time for a caller to send a request head.
+const HEAD_LIMIT: Duration = Duration::from_secs(10);
+
+/// Time for a caller to send a request body.
+const BODY_LIMIT: Duration = Duration::from_secs(30);
+
+/// Time for a caller to take an answer.
+const WRITE_LIMIT: Duration = Duration::from_secs(30);
+
+/// Time for which a refused caller's remaining bytes are read, so that the
+/// reset for unread bytes does not overtake the refusal.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// Deadline of requests that name none, in milliseconds.
+const DEADLINE_DEFAULT: u64 = 5_000;
+
+/// Longest deadline, in milliseconds.
+const DEADLINE_MAX: u64 = 60_000;
+
+/// A response as the server writes it.
+#[derive(Debug)]
+pub struct Served {
+    /// HTTP status code.
+    pub status: StatusCode,
+    /// Headers, without length and connection.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A request that is refused before the reducer sees it.
+#[derive(Debug)]
+struct Rejected {
+    status: StatusCode,
+    detail: String,
+}
+
+/// Serves callers until the process ends.
+pub fn listen(listener: TcpListener, shell: &Shell) {
+    let shell = shell.clone();
+    let open = Rc::new(Cell::new(0_usize));
+    monoio::spawn(async move {
+        loop {
+            let stream = accept(&listener).await;
+            let count = Rc::clone(&open);
+            count.set(count.get() + 1);
+            let shell = shell.clone();
+            monoio::spawn(async move {
+                if count.get() > CONNECTIONS_MAX {
+                    turn_away(stream, &shell).await;
+                } else {
+                    serve(stream, &shell).await;
+                }
+                count.set(count.get() - 1);
+            });
+        }
+    });
+}
+
+async fn turn_away(stream: TcpStream, shell: &Shell) {
+    let detail = "the node has no room for another connection";
+    let mut refusal = Refusal::new(Reason::Overloaded, detail);
+    refusal.retry_after = Some(1_000);
+    let mut conn = Conn::new(stream);
+    let response = refused(shell, refusal);
+    let _ = write(&mut conn, &response, Version::HTTP_11, false, true).await;
+    drain(&mut conn).await;
+}
+
+async fn serve(stream: TcpStream, shell: &Shell) {
+    let mut conn = Conn::new(stream);
+    loop {
+        if !conn.has_unread() {
+            match timeout(IDLE_LIMIT, conn.fill()).await {
+                Ok(Ok(1..)) => {}
+                _ => return,
+            }
+        }
+        let head = match timeout(HEAD_LIMIT, conn.request_head()).await {
+            Ok(Ok(Some(head))) => head,
+            Ok(Ok(None) | Err(WireError::Closed)) => return,
+            Ok(Err(error)) => {
+                shell.malformed("caller", &error);
+                return reject(conn, shell, rejected(&error)).await;
+            }
+            Err(_) => {
+                return reject(conn, shell, late("request head")).await;
+            }
+        };
+        if !request(&mut conn, head, shell).await {
+            return;
+        }
+    }
+}
+
+/// Handles one request; false if the connection cannot carry another.
+async fn request(conn: &mut Conn, head: RequestHead, shell: &Shell) -> bool {
+    let body = match body(conn, &head).await {
+        Ok(Some(body)) => body,
+        Ok(None) => return false,
+        Err(rejection) => {
+            let response = rejection.response(shell);
+            let version = head.version;
+            let _ = write(conn, &response, version, false, true).await;
+            drain(conn).await;
+            return false;
+        }
+    };
+    let version = head.version;
+    let is_head = head.method == Method::HEAD;
+    let wanted = keeps_alive(version, &head.headers);
+    let response = match ops::answer(shell, &head) {
+        Some(response) => response,
+        None => match call(head, body) {
+            Ok(call) => match run(conn, shell, call).await {
+                Some(Ok(answer)) => served(answer),
+                Some(Err(refusal)) => refused(shell, refusal),
+                None => return false,
+            },
+            Err(rejection) => rejection.response(shell),
+        },
+    };
+    // A node that is about to stop asks callers to connect elsewhere.
+    let keep = wanted && !shell.is_stopping();
+    shell.queued(1);
+    let written = write(conn, &response, version, keep, !is_head).await;
+    shell.written(1);
+    written && keep
+}
+
+/// Reads the body; `None` if the caller went away.
+async fn body(
+    conn: &mut Conn,
+    head: &RequestHead,
+) -> Result<Option<Bytes>, Rejected> {
+    let framing =
+        request_framing(&head.headers).map_err(|error| rejected(&error))?;
+    let expects = head.headers.contains_key(header::EXPECT);
+    if expects && !conn.has_unread() {
+        let line = Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n");
+        if conn.write(line).await.is_err() {
+            return Ok(None);
+        }
+    }
+    match timeout(BODY_LIMIT, conn.body(framing, BODY_MAX)).await {
+        Ok(Ok(body)) => Ok(Some(body)),
+        Ok(Err(WireError::Closed)) => Ok(None),
+        Ok(Err(error)) => Err(rejected(&error)),
+        Err(_) => Err(late("request body")),
+    }
+}
+
+/// Runs a request; `None` if the caller went away meanwhile.
+async fn run(conn: &mut Conn, shell: &Shell, call: Call) -> Option<Reply> {
+    let (sender, mut reply) = oneshot::channel();
+    let done = Box::new(move |reply| {
+        let _ = sender.send(reply);
+    });
+    let ticket = shell.submit(call, Source::Caller, done);
+    if let Ok(reply) = reply.try_recv() {
+        return Some(reply);
+    }
+    monoio::select! {
+        reply = reply => Some(reply.unwrap_or_else(|_| Err(forgotten()))),
+        () = gone(conn) => {
+            shell.cancel(ticket);
+            None
+        }
+    }
+}
+
+fn forgotten() -> Refusal {
+    Refusal::new(Reason::Cancelled, "the request was given up")
+}
+
+/// Waits until the caller closes its connection. Bytes of a next request
+/// stay in the buffer; the connection is not watched further then.
+async fn gone(conn: &mut Conn) {
+    while !conn.has_unread() {
+        if let Ok(0) | Err(_) = conn.fill().await {
+            return;
+        }
+    }
+    std::future::pending::<()>().await;
+}
+
+/// The request for the reducer.
+fn call(head: RequestHead, body: Bytes) -> Result<Call, Rejected> {
+    let bad = |detail: &str| Rejected {
+        status: StatusCode::BAD_REQUEST,
+        detail: detail.to_owned(),
+    };
+    let mut headers = head.headers;
+    let service = text(&headers, &SERVICE)?
+        .ok_or_else(|| bad("the header Lagoondyke-Service is missing"))?;
+    let path = head.uri.path_and_query().map(http::uri::PathAndQuery::as_str);
+    let path = path.unwrap_or("/").to_owned();
+    if head.method == Method::CONNECT || ops::is_reserved(&path) {
+        return Err(bad("the method or path is not forwarded"));
+    }
+    let budget = match text(&headers, &DEADLINE)? {
+        None => DEADLINE_DEFAULT,
+        Some(text) => match text.parse() {
+            Ok(ms) if ms <= DEADLINE_MAX => ms,
+            _ => return Err(bad("Lagoondyke-Deadline is not 0 to 60000")),
+        },
+    };
+    let key = headers.get(&KEY).map(|key| KeyHash::of(key.as_bytes()));
+    let token = text(&headers, &TOKEN)?;
+    let scope = text(&headers, &SCOPE)?;
+    let partner = text(&headers, &PARTNER)?;
+    let trace = text(&headers, &TRACE).unwrap_or_default();
+    strip_hop_headers(&mut headers);
+    for name in [DEADLINE, FENCE, SHARD, TRACE] {
+        headers.remove(name);
+    }
+    let method = head.method;
+    let fingerprint = fingerprint(&service, &method, &path, key, &body);
+    Ok(Call {
+        service,
+        key,
+        budget,
+        idempotent: is_idempotent(&method),
+        token,
+        scope,
+        partner,
+        fingerprint,
+        method,
+        path,
+        headers,
+        body,
+        trace,
+    })
+}
+
+fn text(
+    headers: &HeaderMap,
+    name: &HeaderName,
+) -> Result<Option<String>, Rejected> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    match value.to_str() {
+        Ok(text) if !text.is_empty() => Ok(Some(text.to_owned())),
+        _ => Err(Rejected {
+            status: StatusCode::BAD_REQUEST,
+            detail: format!("the header {name} is empty or not ASCII"),
+        }),
+    }
+}
+
+fn rejected(error: &WireError) -> Rejected {
+    let status = match error {
+        WireError::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+        WireError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        _ => StatusCode::BAD_REQUEST,
+    };
+    Rejected { status, detail: error.to_string() }
+}
+
+fn late(what: &str) -> Rejected {
+    Rejected {
+        status: StatusCode::REQUEST_TIMEOUT,
+        detail: format!("the {what} was not sent in time"),
+    }
+}
+
+impl Rejected {
+    fn response(&self, shell: &Shell) -> Served {
+        let mut refusal =
+            Refusal::new(Reason::BadRequest, self.detail.as_str());
+        refusal.verdict = Verdict::NotRun;
+        let mut served = refused(shell, refusal.clone());
+        served.status = self.status;
+        served.body = problem::document(&refusal, self.status);
+        served
+    }
+}
+
+async fn reject(mut conn: Conn, shell: &Shell, rejection: Rejected) {
+    let response = rejection.response(shell);
+    write(&mut conn, &response, Version::HTTP_11, false, true).await;
+    drain(&mut conn).await;
+}
+
+async fn drain(conn: &mut Conn) {
+    conn.finish().await;
+    let rest = async { while let Ok(1..) = conn.discard().await {} };
+    let _ = timeout(LINGER, rest).await;
+}
+
+fn served(answer: Answer) -> Served {
+    let mut headers = answer.headers;
+    headers.remove(SCOPE);
+    if let Ok(node) = answer.node.parse() {
+        headers.insert(NODE, node);
+    }
+    if let Some(scope) = answer.scope.and_then(|text| text.parse().ok()) {
+        headers.insert(SCOPE, scope);
+    }
+    Served { status: answer.status, headers, body: answer.body }
+}
+
+fn refused(shell: &Shell, refusal: Refusal) -> Served {
+    let status = StatusCode::from_u16(refusal.reason.status())
+        .unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    let mut headers = HeaderMap::new();
+    let media = header::HeaderValue::from_static(problem::MEDIA_TYPE);
+    headers.insert(header::CONTENT_TYPE, media);
+    if let Ok(node) = shell.name().parse() {
+        headers.insert(NODE, node);
+    }
+    if let Some(seconds) = problem::retry_after(&refusal) {
+        headers.insert(header::RETRY_AFTER, seconds.into());
+    }
+    let body = problem::document(&refusal, status);
+    if let Some(scope) = refusal.scope.and_then(|text| text.parse().ok()) {
+        headers.insert(SCOPE, scope);
+    }
+    Served { status, headers, body }
+}
+
+/// Writes a response; false if the caller did not take it.
+async fn write(
+    conn: &mut Conn,
+    response: &Served,
+    version: Version,
+    keep: bool,
+    with_body: bool,
+) -> bool {
+    let mut out =
+        BytesMut::with_capacity(512 + response.body.len().min(COPY_MAX));
+    let status = response.status;
+    out.extend_from_slice(b"HTTP/1.1 ");
+    out.extend_from_slice(status.as_str().as_bytes());
+    out.extend_from_slice(b" ");
+    let reason = status.canonical_reason().unwrap_or("Unknown");
+    out.extend_from_slice(reason.as_bytes());
+    out.extend_from_slice(b"\r\n");
+    let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+    if with_body && !bodiless.contains(&status) {
+        let size = response.body.len() as u64;
+        put_number(&mut out, "content-length", size);
+    }
+    if !keep {
+        put_header(&mut out, "connection", b"close");
+    } else if version != Version::HTTP_11 {
+        put_header(&mut out, "connection", b"keep-alive");
+    }
+    put_headers(&mut out, &response.headers);
+    out.extend_from_slice(b"\r\n");
+    let mut body =
+        if with_body { response.body.clone() } else { Bytes::new() };
+    if body.len() <= COPY_MAX {
+        out.extend_from_slice(&body);
+        body = Bytes::new();
+    }
+    let sent = timeout(WRITE_LIMIT, async {
+        conn.write(out).await?;
+        if body.is_empty() { Ok(()) } else { conn.write(body).await }
+    });
+    matches!(sent.await, Ok(Ok(())))
+}
--- /dev/null
+++ b/crates/node/src/shell.rs
@@ -0,0 +1,526 @@
+//! The loop around the reducer.
+//!
+//! [`Shell::post`] passes an event to the reducer and performs the effects
+//! that it returns, in order, before it returns. Requests that have not
+//! ended are kept here with their bodies, under their tickets.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use lagoondyke_core::clock::{Millis, TICK};
+use lagoondyke_core::effect::{Effect, StoreOp};
+use lagoondyke_core::event::{Event, Outcome, Source};
+use lagoondyke_core::id::{CallId, Fence, NodeAddr, Shard, Ticket};
+use lagoondyke_core::node::Node;
+use lagoondyke_core::settings::Settings;
+use lagoondyke_core::status::Status;
+use lagoondyke_core::verdict::{Reason, Refusal, Verdict};
+use local_sync::oneshot;
+use slab::Slab;
+use slog::Logger;
+
+use crate::clock;
+use crate::logs;
+use crate::message::{Answer, Call, Reply};
+use crate::ports::{
+    Control, Dispatch, Forward, Local, Peers, Store, Upstream,
+};
+
+/// Takes the reply of a request; called once.
+pub type Done = Box<dyn FnOnce(Reply)>;
+
+/// The adapters that a shell performs effects with.
+pub struct Ports {
+    /// The object store.
+    pub store: Rc<dyn Store>,
+    /// The upstream beside this node.
+    pub upstream: Rc<dyn Upstream>,
+    /// Other nodes, for requests and documents.
+    pub peers: Rc<dyn Peers>,
+    /// Other nodes, for control datagrams.
+    pub control: Rc<dyn Control>,
+}
+
+impl fmt::Debug for Ports {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Ports")
+    }
+}
+
+/// A handle of the loop; clones share it.
+#[derive(Clone, Debug)]
+pub struct Shell {
+    inner: Rc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    settings: Settings,
+    name: String,
+    ports: Ports,
+    log: Logger,
+    node: RefCell<Node>,
+    queue: RefCell<VecDeque<Event>>,
+    running: Cell<bool>,
+    stopping: Cell<bool>,
+    exited: Cell<bool>,
+    requests: RefCell<Slab<Entry>>,
+    kept: RefCell<HashMap<Ticket, Answer>>,
+    starts: Cell<u32>,
+    unwritten: Cell<usize>,
+}
+
+/// A request that has not ended.
+struct Entry {
+    generation: u32,
+    call: Rc<Call>,
+    done: Option<Done>,
+    hops: Vec<Attempt>,
+}
+
+impl fmt::Debug for Entry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Entry")
+            .field("hops", &self.hops)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Where an attempt runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Hop {
+    Peer(u8),
+    Upstream,
+}
+
+/// An attempt of a request. Dropping `abort` cancels it.
+#[derive(Debug)]
+struct Attempt {
+    hop: Hop,
+    abort: Option<oneshot::Sender<()>>,
+    answer: Option<Answer>,
+}
+
+fn ticket(generation: u32, index: usize) -> Ticket {
+    Ticket(u64::from(generation) << 32 | index as u64)
+}
+
+fn parts(ticket: Ticket) -> (u32, usize) {
+    ((ticket.0 >> 32) as u32, (ticket.0 & 0xffff_ffff) as usize)
+}
+
+impl Shell {
+    /// A shell around `node`.
+    #[must_use]
+    pub fn new(
+        settings: Settings,
+        node: Node,
+        ports: Ports,
+        log: Logger,
+    ) -> Self {
+        let inner = Inner {
+            name: settings.addr.to_string(),
+            settings,
+            ports,
+            log,
+            node: RefCell::new(node),
+            queue: RefCell::default(),
+            running: Cell::new(false),
+            stopping: Cell::new(false),
+            exited: Cell::new(false),
+            requests: RefCell::default(),
+            kept: RefCell::default(),
+            starts: Cell::new(0),
+            unwritten: Cell::new(0),
+        };
+        Self { inner: Rc::new(inner) }
+    }
+
+    /// The node's settings.
+    #[must_use]
+    pub fn settings(&self) -> &Settings {
+        &self.inner.settings
+    }
+
+    /// The node's name in answers: its address.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.inner.name
+    }
+
+    /// The node's log.
+    pub fn log(&self) -> &Logger {
+        &self.inner.log
+    }
+
+    /// The operator's view of the node.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        self.inner.node.borrow().status(clock::now())
+    }
+
+    /// The configuration document in force and its version.
+    #[must_use]
+    pub fn document(&self) -> (u64, Vec<u8>) {
+        let node = self.inner.node.borrow();
+        let (version, text) = node.document();
+        (version, text.to_vec())
+    }
+
+    /// Whether the node has been asked to stop.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.inner.stopping.get()
+    }
+
+    /// Whether the reducer has asked for the end of the process.
+    #[must_use]
+    pub fn has_exited(&self) -> bool {
+        self.inner.exited.get()
+    }
+
+    /// Requests that have not ended.
+    #[must_use]
+    pub fn outstanding(&self) -> usize {
+        self.inner.requests.borrow().len()
+    }
+
+    /// Starts a graceful stop.
+    pub fn stop(&self) {
+        if !self.inner.stopping.replace(true) {
+            slog::info!(self.inner.log, "stop requested");
+            self.post(Event::Stop);
+        }
+    }
+
+    /// Ends the loop at once, for a forced stop.
+    pub fn abandon(&self) {
+        self.inner.exited.set(true);
+    }
+
+    /// Notes that bytes of an answer wait to be written.
+    pub fn queued(&self, size: usize) {
+        let unwritten = &self.inner.unwritten;
+        unwritten.set(unwritten.get() + size);
+    }
+
+    /// Notes that bytes of an answer have been written or given up.
+    pub fn written(&self, size: usize) {
+        let unwritten = &self.inner.unwritten;
+        unwritten.set(unwritten.get().saturating_sub(size));
+    }
+
+    /// Waits until all answers have been written, at most `limit` ms.
+    pub async fn flush(&self, limit: u64) {
+        let end = clock::now().plus(limit);
+        while self.inner.unwritten.get() > 0 && clock::now() < end {
+            monoio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    /// Counts input that could not be decoded.
+    pub fn malformed(&self, socket: &str, error: &dyn fmt::Display) {
+        slog::debug!(self.inner.log, "malformed input";
+            "socket" => socket, "error" => error.to_string());
+    }
+
+    /// Delivers ticks, and reports of the upstream, until the node exits.
+    pub async fn run(&self, mut poll: impl FnMut(&Self)) {
+        let shell = self.clone();
+        let report = Rc::new(move |event| shell.post(event));
+        self.inner.ports.upstream.watch(report);
+        while !self.has_exited() {
+            poll(self);
+            self.post(Event::Tick);
+            monoio::time::sleep(Duration::from_millis(TICK)).await;
+        }
+    }
+
+    /// Takes a request; `done` is called with its reply.
+    pub fn submit(&self, call: Call, source: Source, done: Done) -> Ticket {
+        let generation = self.inner.starts.get().wrapping_add(1);
+        self.inner.starts.set(generation);
+        let call = Rc::new(call);
+        let entry = Entry {
+            generation,
+            call: Rc::clone(&call),
+            done: Some(done),
+            hops: Vec::new(),
+        };
+        let index = self.inner.requests.borrow_mut().insert(entry);
+        let ticket = ticket(generation, index);
+        if self.has_exited() {
+            let detail = "the node has stopped";
+            self.finish(ticket, Err(Refusal::new(Reason::NoOwner, detail)));
+            return ticket;
+        }
+        self.post(Event::Arrived(call.arrival(ticket, source)));
+        ticket
+    }
+
+    /// Says that whoever sent a request went away.
+    pub fn cancel(&self, ticket: Ticket) {
+        let mut known = false;
+        self.with(ticket, |entry| {
+            known = true;
+            entry.done = None;
+        });
+        if known {
+            self.post(Event::Cancelled { ticket });
+        }
+    }
+
+    /// Passes an event to the reducer and performs its effects. Events that
+    /// arise meanwhile are passed on in order before this returns.
+    pub fn post(&self, event: Event) {
+        let inner = &self.inner;
+        inner.queue.borrow_mut().push_back(event);
+        if inner.running.replace(true) {
+            return;
+        }
+        let mut effects = Vec::new();
+        loop {
+            let event = inner.queue.borrow_mut().pop_front();
+            let Some(event) = event else { break };
+            let now = clock::now();
+            inner.node.borrow_mut().step(event, now, &mut effects);
+            for effect in effects.drain(..) {
+                self.perform(effect);
+            }
+        }
+        inner.running.set(false);
+    }
+
+    fn perform(&self, effect: Effect) {
+        match effect {
+            Effect::Send { to, message } => {
+                self.inner.ports.control.send(to, &message);
+            }
+            Effect::Store { call, op } => self.store(call, op),
+            Effect::FetchConfig { from } => self.fetch(from),
+            Effect::Grant { shards, until } => {
+                self.inner.ports.upstream.grant(shards, until);
+            }
+            Effect::Notice(notice) => logs::notice(&self.inner.log, &notice),
+            Effect::Exit => self.inner.exited.set(true),
+            request => self.perform_request(request),
+        }
+    }
+
+    fn perform_request(&self, effect: Effect) {
+        match effect {
+            Effect::Forward { ticket, attempt, to, deadline } => {
+                self.forward(ticket, attempt, to, deadline);
+            }
+            Effect::Dispatch { ticket, fence, deadline } => {
+                self.dispatch(ticket, fence, deadline);
+            }
+            Effect::Answer { ticket, attempt, scope } => {
+                self.answer(ticket, attempt, scope);
+            }
+            Effect::Replay { ticket, of, scope } => {
+                self.replay(ticket, of, scope);
+            }
+            Effect::Keep { ticket } => self.keep(ticket),
+            Effect::Drop { ticket } => {
+                self.inner.kept.borrow_mut().remove(&ticket);
+            }
+            Effect::Refuse { ticket, refusal } => {
+                self.finish(ticket, Err(refusal));
+            }
+            Effect::AbortPeer { ticket, attempt } => {
+                self.abort(ticket, Hop::Peer(attempt));
+            }
+            Effect::AbortUpstream { ticket } => {
+                self.abort(ticket, Hop::Upstream);
+            }
+            _ => {}
+        }
+    }
+
+    fn store(&self, call: CallId, op: StoreOp) {
+        let answer = self.inner.ports.store.call(op);
+        let shell = self.clone();
+        monoio::spawn(async move {
+            let outcome = answer.await;
+            shell.post(Event::Stored { call, outcome });
+        });
+    }
+
+    fn fetch(&self, from: NodeAddr) {
+        let operator = self.inner.settings.operator.clone();
+        let answer = self.inner.ports.peers.fetch_config(from, operator);
+        let shell = self.clone();
+        monoio::spawn(async move {
+            if let Some((version, document)) = answer.await {
+                shell.post(Event::Fetched { version, document });
+            }
+        });
+    }
+
+    /// Runs `change` on a request that has not ended.
+    fn with<T>(
+        &self,
+        ticket: Ticket,
+        change: impl FnOnce(&mut Entry) -> T,
+    ) -> Option<T> {
+        let (generation, index) = parts(ticket);
+        let mut requests = self.inner.requests.borrow_mut();
+        let entry = requests.get_mut(index)?;
+        (entry.generation == generation).then(|| change(entry))
+    }
+
+    fn forward(
+        &self,
+        ticket: Ticket,
+        attempt: u8,
+        to: NodeAddr,
+        deadline: Millis,
+    ) {
+        let Some(call) = self.with(ticket, |entry| Rc::clone(&entry.call))
+        else {
+            return self.gone(ticket, Hop::Peer(attempt));
+        };
+        let trace = call.trace.clone();
+        let forward = Forward { to, call, deadline, trace };
+        let reply = self.inner.ports.peers.forward(forward);
+        self.start(ticket, Hop::Peer(attempt), reply);
+    }
+
+    fn dispatch(
+        &self,
+        ticket: Ticket,
+        fence: Option<(Shard, Fence)>,
+        deadline: Millis,
+    ) {
+        let Some(call) = self.with(ticket, |entry| Rc::clone(&entry.call))
+        else {
+            return self.gone(ticket, Hop::Upstream);
+        };
+        let trace = call.trace.clone();
+        let dispatch = Dispatch { call, fence, deadline, trace };
+        let reply = self.inner.ports.upstream.run(dispatch);
+        self.start(ticket, Hop::Upstream, reply);
+    }
+
+    /// Reports the failure of an attempt of a request that is unknown here.
+    fn gone(&self, ticket: Ticket, hop: Hop) {
+        let detail = "the request is no longer known";
+        let mut refusal = Refusal::new(Reason::Cancelled, detail);
+        refusal.verdict = Verdict::NotRun;
+        self.report(ticket, hop, Outcome::Failed(refusal));
+    }
+
+    /// Runs an attempt in its own task until it ends or is aborted.
+    fn start(&self, ticket: Ticket, hop: Hop, reply: Local<Reply>) {
+        let (abort, aborted) = oneshot::channel::<()>();
+        let attempt = Attempt { hop, abort: Some(abort), answer: None };
+        self.with(ticket, |entry| entry.hops.push(attempt));
+        let shell = self.clone();
+        monoio::spawn(async move {
+            monoio::select! {
+                _ = aborted => {}
+                reply = reply => shell.attempt_done(ticket, hop, reply),
+            }
+        });
+    }
+
+    fn attempt_done(&self, ticket: Ticket, hop: Hop, reply: Reply) {
+        let ended = self.with(ticket, |entry| entry.end(hop, reply));
+        // An attempt that was aborted while it ended reports nothing.
+        let Some(outcome) = ended.flatten() else { return };
+        self.report(ticket, hop, outcome);
+    }
+
+    fn report(&self, ticket: Ticket, hop: Hop, outcome: Outcome) {
+        self.post(match hop {
+            Hop::Peer(attempt) => Event::PeerDone { ticket, attempt, outcome },
+            Hop::Upstream => Event::UpstreamDone { ticket, outcome },
+        });
+    }
+
+    fn abort(&self, ticket: Ticket, hop: Hop) {
+        self.with(ticket, |entry| {
+            entry.hops.retain(|attempt| attempt.hop != hop);
+        });
+    }
+
+    fn answer(&self, ticket: Ticket, attempt: u8, scope: Option<String>) {
+        let answer = self.with(ticket, |entry| entry.take(attempt)).flatten();
+        let reply = answer.map(|mut answer| {
+            answer.scope = scope.or(answer.scope);
+            answer
+        });
+        let missing = "the answer is no longer known";
+        let lost = || Refusal::new(Reason::ConnectionLost, missing);
+        self.finish(ticket, reply.ok_or_else(lost));
+    }
+
+    fn replay(&self, ticket: Ticket, of: Ticket, scope: Option<String>) {
+        let kept = self.inner.kept.borrow().get(&of).cloned();
+        let reply = kept.map(|answer| Answer { scope, ..answer });
+        let lost = || {
+            let detail = "the recorded answer is no longer known";
+            Refusal::new(Reason::AlreadyRan, detail)
+        };
+        self.finish(ticket, reply.ok_or_else(lost));
+    }
+
+    fn keep(&self, ticket: Ticket) {
+        let copy = self.with(ticket, |entry| entry.peek().cloned()).flatten();
+        if let Some(answer) = copy {
+            self.inner.kept.borrow_mut().insert(ticket, answer);
+        }
+    }
+
+    /// Ends a request: replies and cancels attempts that still run.
+    fn finish(&self, ticket: Ticket, reply: Reply) {
+        let known = self.with(ticket, |_| ()).is_some();
+        if !known {
+            return;
+        }
+        let (_, index) = parts(ticket);
+        let entry = self.inner.requests.borrow_mut().remove(index);
+        if let Some(done) = entry.done {
+            done(reply);
+        }
+    }
+}
+
+impl Entry {
+    /// Notes the end of an attempt; `None` if it was aborted.
+    fn end(&mut self, hop: Hop, reply: Reply) -> Option<Outcome> {
+        let mut hops = self.hops.iter_mut();
+        let attempt = hops.find(|attempt| attempt.hop == hop)?;
+        attempt.abort = None;
+        Some(match reply {
+            Err(refusal) => Outcome::Failed(refusal),
+            Ok(answer) => {
+                let status = answer.status.as_u16();
+                let size = answer.body.len();
+                attempt.answer = Some(answer);
+                Outcome::Answered { status, size }
+            }
+        })
+    }
+
+    /// The answer that is wanted: of the upstream if it was asked, else of
+    /// the attempt with this number.
+    fn take(&mut self, number: u8) -> Option<Answer> {
+        let mut wanted = None;
+        for attempt in &mut self.hops {
+            let fits = attempt.hop == Hop::Peer(number);
+            if attempt.hop == Hop::Upstream || fits && wanted.is_none() {
+                wanted = attempt.answer.take().or(wanted);
+            }
+        }
+        wanted
+    }
+
+    fn peek(&self) -> Option<&Answer> {
+        self.hops.iter().find_map(|attempt| attempt.answer.as_ref())
+    }
+}
--- /dev/null
+++ b/crates/node/src/wire.rs
@@ -0,0 +1,398 @@
+//! Buffered connections and HTTP/1.1 message framing.
+//!
+//! Heads are decoded by the codec of `monoio-http`; this module adds the
+//! limits and the framing of bodies that callers, upstreams and the store
+//! share.
+
+use std::fmt;
+use std::io;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{self, HeaderMap};
+use http::{Method, StatusCode, Version};
+use monoio::buf::IoBufMut;
+use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
+use monoio::net::TcpStream;
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::common::request::RequestHead;
+use monoio_http::common::response::ResponseHead;
+use monoio_http::h1::codec::decoder::{
+    ChunkedBodyDecoder, DecodeError, RequestHeadDecoder, ResponseHeadDecoder,
+};
+
+/// Largest block of request or status line and headers, in bytes.
+pub const HEAD_MAX: usize = 32 * 1024;
+
+/// Bytes that are read at once.
+const READ_SIZE: usize = 8 * 1024;
+
+/// Why a message could not be read.
+#[derive(Debug)]
+pub enum WireError {
+    /// The connection ended or failed.
+    Closed,
+    /// The head exceeds its limit.
+    HeadTooLarge,
+    /// The body exceeds its limit.
+    BodyTooLarge,
+    /// The message is malformed.
+    Malformed(String),
+}
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Closed => f.write_str("connection closed"),
+            Self::HeadTooLarge => {
+                write!(f, "head exceeds the limit of {HEAD_MAX} bytes")
+            }
+            Self::BodyTooLarge => f.write_str("body exceeds its limit"),
+            Self::Malformed(what) => f.write_str(what),
+        }
+    }
+}
+
+impl std::error::Error for WireError {}
+
+/// How the end of a body is found.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Framing {
+    /// The body has this many bytes.
+    Length(usize),
+    /// The body comes in chunks.
+    Chunked,
+    /// The body ends with the connection.
+    Close,
+}
+
+/// A connection with a read buffer.
+#[derive(Debug)]
+pub struct Conn {
+    stream: TcpStream,
+    buf: BytesMut,
+}
+
+impl Conn {
+    /// Wraps a stream and turns off Nagle's algorithm, which would delay
+    /// small messages.
+    #[must_use]
+    pub fn new(stream: TcpStream) -> Self {
+        let _ = stream.set_nodelay(true);
+        Self { stream, buf: BytesMut::new() }
+    }
+
+    /// Whether bytes have been read that no message has used yet.
+    #[must_use]
+    pub fn has_unread(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
+    /// Reads more bytes into the buffer; 0 at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        let mut buf = std::mem::take(&mut self.buf);
+        if buf.capacity() - buf.len() < READ_SIZE / 4 {
+            buf.reserve(READ_SIZE);
+        }
+        let begin = buf.len();
+        let (result, slice) = self.stream.read(buf.slice_mut(begin..)).await;
+        self.buf = slice.into_inner();
+        result
+    }
+
+    /// Writes all of `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub async fn write(&mut self, bytes: impl Into<Bytes>) -> io::Result<()> {
+        self.stream.write_all(bytes.into()).await.0.map(|_| ())
+    }
+
+    /// Writes as much of `bytes` as the socket takes at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket; nothing was written then.
+    pub async fn write_some(&mut self, bytes: Bytes) -> io::Result<usize> {
+        self.stream.write(bytes).await.0
+    }
+
+    /// Reads bytes and drops them; 0 at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub async fn discard(&mut self) -> io::Result<usize> {
+        self.buf.clear();
+        self.fill().await
+    }
+
+    /// Says that nothing more will be written.
+    pub async fn finish(&mut self) {
+        let _ = self.stream.shutdown().await;
+    }
+
+    /// Reads a request head; `None` if the stream ended before it began.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the head is cut off, oversized or malformed.
+    pub async fn request_head(
+        &mut self,
+    ) -> Result<Option<RequestHead>, WireError> {
+        loop {
+            if let Some(head) = decode_request(&mut self.buf)? {
+                return Ok(Some(head));
+            }
+            let empty = self.buf.is_empty();
+            match self.fill().await {
+                Ok(0) | Err(_) if empty => return Ok(None),
+                Ok(0) | Err(_) => return Err(WireError::Closed),
+                Ok(_) => {}
+            }
+        }
+    }
+
+    /// Reads the head of a final response; interim ones are skipped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the head is cut off, oversized or malformed.
+    pub async fn response_head(&mut self) -> Result<ResponseHead, WireError> {
+        loop {
+            match decode_response(&mut self.buf)? {
+                Some(head) if head.status.is_informational() => continue,
+                Some(head) => return Ok(head),
+                None => {}
+            }
+            if let Ok(0) | Err(_) = self.fill().await {
+                return Err(WireError::Closed);
+            }
+        }
+    }
+
+    /// Reads a body of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is cut off, oversized or malformed.
+    pub async fn body(
+        &mut self,
+        framing: Framing,
+        limit: usize,
+    ) -> Result<Bytes, WireError> {
+        match framing {
+            Framing::Length(0) => Ok(Bytes::new()),
+            Framing::Length(size) if size > limit => {
+                Err(WireError::BodyTooLarge)
+            }
+            Framing::Length(size) => self.fixed(size).await,
+            Framing::Chunked => self.chunked(limit).await,
+            Framing::Close => Err(WireError::Malformed(
+                "the end of the body cannot be told from a cut".to_owned(),
+            )),
+        }
+    }
+
+    async fn fixed(&mut self, size: usize) -> Result<Bytes, WireError> {
+        if self.buf.capacity() < size {
+            self.buf.reserve(size - self.buf.len());
+        }
+        while self.buf.len() < size {
+            if let Ok(0) | Err(_) = self.fill().await {
+                return Err(WireError::Closed);
+            }
+        }
+        Ok(self.buf.split_to(size).freeze())
+    }
+
+    async fn chunked(&mut self, limit: usize) -> Result<Bytes, WireError> {
+        let mut decoder = ChunkedBodyDecoder::default();
+        let mut body = BytesMut::new();
+        loop {
+            match decoder.decode(&mut self.buf).map_err(malformed)? {
+                Decoded::Some(None) => return Ok(body.freeze()),
+                Decoded::Some(Some(chunk)) => body.extend_from_slice(&chunk),
+                // The decoder waits until a whole chunk is in the buffer.
+                _ if self.buf.len() > limit => {
+                    return Err(WireError::BodyTooLarge);
+                }
+                _ => {
+                    if let Ok(0) | Err(_) = self.fill().await {
+                        return Err(WireError::Closed);
+                    }
+                }
+            }
+            if body.len() > limit {
+                return Err(WireError::BodyTooLarge);
+            }
+        }
+    }
+
+    /// Whether an idle connection can still be used: the other side has
+    /// neither closed it nor sent anything unasked.
+    pub async fn is_idle(&mut self) -> bool {
+        if !self.buf.is_empty() {
+            return false;
+        }
+        let mut fill = std::pin::pin!(self.fill());
+        std::future::poll_fn(|context| {
+            std::task::Poll::Ready(fill.as_mut().poll(context).is_pending())
+        })
+        .await
+    }
+}
+
+fn malformed(error: DecodeError) -> WireError {
+    match error {
+        DecodeError::Parse(httparse::Error::TooManyHeaders) => {
+            WireError::HeadTooLarge
+        }
+        other => WireError::Malformed(other.to_string()),
+    }
+}
+
+/// Decodes a request head from the start of `buf`, if it is complete.
+///
+/// # Errors
+///
+/// Returns an error if the head is oversized or malformed.
+pub fn decode_request(
+    buf: &mut BytesMut,
+) -> Result<Option<RequestHead>, WireError> {
+    decode_head(&mut RequestHeadDecoder, buf)
+}
+
+/// Decodes a response head from the start of `buf`, if it is complete.
+///
+/// # Errors
+///
+/// Returns an error if the head is oversized or malformed.
+pub fn decode_response(
+    buf: &mut BytesMut,
+) -> Result<Option<ResponseHead>, WireError> {
+    decode_head(&mut ResponseHeadDecoder, buf)
+}
+
+fn decode_head<T, D: Decoder<Item = T, Error = DecodeError>>(
+    decoder: &mut D,
+    buf: &mut BytesMut,
+) -> Result<Option<T>, WireError> {
+    if buf.is_empty() {
+        return Ok(None);
+    }
+    let before = buf.len();
+    match decoder.decode(buf).map_err(malformed)? {
+        Decoded::Some(_) if before - buf.len() > HEAD_MAX => {
+            Err(WireError::HeadTooLarge)
+        }
+        Decoded::Some(head) => Ok(Some(head)),
+        _ if buf.len() > HEAD_MAX => Err(WireError::HeadTooLarge),
+        _ => Ok(None),
+    }
+}
+
+/// How the body of a request is framed.
+///
+/// # Errors
+///
+/// Returns an error if the framing is ambiguous: two parsers that disagree
+/// about the end of a request could be made to see different requests.
+pub fn request_framing(headers: &HeaderMap) -> Result<Framing, WireError> {
+    Ok(framing(headers)?.unwrap_or(Framing::Length(0)))
+}
+
+/// How the body of a response to `method` is framed.
+///
+/// # Errors
+///
+/// Returns an error if the framing is ambiguous.
+pub fn response_framing(
+    method: &Method,
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> Result<Framing, WireError> {
+    let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+    if *method == Method::HEAD || bodiless.contains(&status) {
+        return Ok(Framing::Length(0));
+    }
+    Ok(framing(headers)?.unwrap_or(Framing::Close))
+}
+
+fn framing(headers: &HeaderMap) -> Result<Option<Framing>, WireError> {
+    let bad = |what: &str| Err(WireError::Malformed(what.to_owned()));
+    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
+    let length = lengths.next();
+    if lengths.any(|other| Some(other) != length) {
+        return bad("Content-Length differs between headers");
+    }
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    if let Some(coding) = codings.next() {
+        let chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+        if !chunked || codings.next().is_some() {
+            return bad("Transfer-Encoding is not chunked");
+        }
+        if length.is_some() {
+            return bad("Content-Length and Transfer-Encoding are both given");
+        }
+        return Ok(Some(Framing::Chunked));
+    }
+    let Some(length) = length else { return Ok(None) };
+    let digits = length.as_bytes();
+    if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+        return bad("Content-Length is not a number");
+    }
+    let size = length.to_str().ok().and_then(|text| text.parse().ok());
+    size.map_or_else(
+        || bad("Content-Length is out of range"),
+        |size| Ok(Some(Framing::Length(size))),
+    )
+}
+
+/// Whether the connection stays open after a message.
+#[must_use]
+pub fn keeps_alive(version: Version, headers: &HeaderMap) -> bool {
+    let connection = headers.get(header::CONNECTION);
+    let Some(value) = connection else { return version == Version::HTTP_11 };
+    let text = value.to_str().unwrap_or("close").to_ascii_lowercase();
+    let mut tokens = text.split(',').map(str::trim);
+    if version == Version::HTTP_11 {
+        return !tokens.any(|token| token == "close");
+    }
+    tokens.any(|token| token == "keep-alive")
+}
+
+/// Appends one header line.
+pub fn put_header(out: &mut BytesMut, name: &str, value: &[u8]) {
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Appends one header line with a number.
+pub fn put_number(out: &mut BytesMut, name: &str, value: u64) {
+    let mut digits = [0; 20];
+    let mut at = digits.len();
+    let mut rest = value;
+    loop {
+        at -= 1;
+        digits[at] = b'0' + (rest % 10) as u8;
+        rest /= 10;
+        if rest == 0 {
+            break;
+        }
+    }
+    put_header(out, name, &digits[at..]);
+}
+
+/// Appends all header lines of a map.
+pub fn put_headers(out: &mut BytesMut, headers: &HeaderMap) {
+    for (name, value) in headers {
+        put_header(out, name.as_str(), value.as_bytes());
+    }
+}
