Check settings and configuration documents completely

Errors of the JSON parser named neither field nor limit, duplicate keys of maps were dropped silently, and block comments shifted line numbers, since the comment reader blanks line breaks too. Each text is now walked once for the places of its fields; single-field limits are tables of rules, and dependent fields are checked after typed parsing.

Ruled out: a field `format` in Config and Settings, which would force every constructor to name a constant.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -9,11 +9,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::NodeAddr;
-use crate::jsonc::JsoncError;
+use crate::jsonc::{self, Check, Fault, JsoncError, Rule};
 
 /// Largest settings file, in bytes.
 pub const SETTINGS_MAX: usize = 64 * 1024;
 
+/// Most requests that an upstream can be set to run at once.
+pub const SLOTS_MAX: u16 = 10_000;
+
 /// Settings of one node.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -93,13 +96,82 @@
     Error,
 }
 
+/// Checks of single fields.
+const RULES: &[Rule] = &[
+    Rule { path: &["domain"], check: Check::Name },
+    Rule { path: &["operator"], check: Check::Name },
+    Rule { path: &["service"], check: Check::Name },
+    Rule { path: &["upstream", "name"], check: Check::Name },
+    Rule {
+        path: &["upstream", "slots"],
+        check: Check::Range(1, SLOTS_MAX as u64),
+    },
+    Rule {
+        path: &["upstream", "connections"],
+        check: Check::Range(1, u16::MAX as u64),
+    },
+];
+
 impl Settings {
     /// Parses and checks a settings file.
     ///
     /// # Errors
     ///
     /// Returns the first thing that is wrong, with its place in the text.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use lagoondyke_core::settings::Settings;
+    ///
+    /// let text = r#"{
+    ///     "addr": "127.0.0.1:7101",
+    ///     "listen": "127.0.0.1:7101"
+    /// }"#;
+    /// assert_eq!(
+    ///     Settings::parse(text).unwrap_err().to_string(),
+    ///     "line 1, column 1: field domain: required field is missing"
+    /// );
+    /// ```
     pub fn parse(text: impl AsRef<[u8]>) -> Result<Self, JsoncError> {
-        crate::jsonc::parse(text.as_ref(), SETTINGS_MAX)
+        let text = text.as_ref();
+        jsonc::parse_with(text, SETTINGS_MAX, RULES, Self::check)
+    }
+
+    /// Checks addresses, alone and against each other.
+    fn check(&self) -> Result<(), Fault> {
+        let listen = self.listen;
+        for (path, addr, reached) in [
+            (&["addr"][..], self.addr.0, true),
+            (&["listen"], listen, false),
+            (&["upstream", "addr"], self.upstream.addr, true),
+            (&["store"], self.store, true),
+        ] {
+            if addr.port() == 0 {
+                return Err(Fault::new(path, "port must be 1 to 65535, is 0"));
+            }
+            if reached && addr.ip().is_unspecified() {
+                let message = format!(
+                    "must be an address that others can connect to, is {addr}"
+                );
+                return Err(Fault::new(path, message));
+            }
+        }
+        let addr = self.addr.0;
+        let same_ip = listen.ip() == addr.ip() || listen.ip().is_unspecified();
+        if same_ip && listen.port() == addr.port() {
+            let message = format!("must differ from addr, {addr}");
+            return Err(Fault::new(&["listen"], message));
+        }
+        let upstream = self.upstream.addr;
+        if upstream == addr || upstream == listen {
+            let message = "must differ from the node's own addresses";
+            return Err(Fault::new(&["upstream", "addr"], message));
+        }
+        if self.log.traces.as_deref() == Some("") {
+            let message = "must name a file";
+            return Err(Fault::new(&["log", "traces"], message));
+        }
+        Ok(())
     }
 }
