Add the operators' command

lagoondyke checks files, applies documents on the condition of a version, takes domains out and back by an edit that keeps comments, shows nodes, finds owners, drains nodes and resets groups. A lost answer to an update is settled by reading back: the value decides, and if it cannot, the exit status says so.

Ruled out: repeating a lost update, even though it is conditional, since a conflict on the second attempt would not tell whose change is in force; one runtime for the whole process, since each command makes few calls.

--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,412 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::{
+    OptionParser, ParseFailure, Parser, ShellComp, construct, long, positional,
+};
+
+use crate::exit::{EXIT_HELP, Exit};
+
+/// Widest line of a help text.
+const WIDTH: usize = 79;
+
+/// How long `--wait` waits if `--limit` is not given, in seconds. A
+/// configuration is in force within 4 s while the store answers.
+const LIMIT: u64 = 10;
+
+const COMPLETION: &str = "Shell completion: write the output of \
+--bpaf-complete-style-bash (or -zsh, -fish, -elvish) to the file that your \
+shell loads.";
+
+/// A command of the operator.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Command {
+    /// Check files.
+    Check {
+        /// Paths.
+        files: Vec<String>,
+    },
+    /// Apply a configuration document.
+    Apply {
+        /// The store.
+        store: SocketAddr,
+        /// Path of the document.
+        file: String,
+        /// The version that must be current.
+        expect: Option<u64>,
+        /// Whether to wait until it is in force.
+        wait: Wait,
+    },
+    /// Print a configuration document.
+    Show {
+        /// The store.
+        store: SocketAddr,
+        /// The operator.
+        operator: String,
+    },
+    /// Print the state of nodes.
+    Status {
+        /// The nodes.
+        nodes: Vec<SocketAddr>,
+        /// As JSON instead of a table.
+        json: bool,
+    },
+    /// Print the owner of a key.
+    Owner {
+        /// The node to ask.
+        node: SocketAddr,
+        /// The service.
+        service: String,
+        /// The key.
+        key: String,
+    },
+    /// Explain how a node finds the owner of a key.
+    Explain {
+        /// The node to ask.
+        node: SocketAddr,
+        /// The service.
+        service: String,
+        /// The key.
+        key: String,
+    },
+    /// Take a domain out of service or put it back.
+    Domain {
+        /// Out of service.
+        gone: bool,
+        /// The store.
+        store: SocketAddr,
+        /// The operator.
+        operator: String,
+        /// The domain.
+        domain: String,
+        /// Whether to wait until it is in force.
+        wait: Wait,
+    },
+    /// Stop a node gracefully.
+    Drain {
+        /// The node.
+        node: SocketAddr,
+        /// How long to wait until it has stopped.
+        wait: Option<Duration>,
+    },
+    /// Give a group a new leader.
+    Reset {
+        /// The store.
+        store: SocketAddr,
+        /// The new leader.
+        leader: SocketAddr,
+        /// Nodes declared lost.
+        lost: Vec<SocketAddr>,
+        /// The group's service.
+        service: String,
+        /// The group's index.
+        index: u16,
+    },
+}
+
+/// Waiting until a version is in force.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Wait {
+    /// Whether to wait.
+    pub wait: bool,
+    /// The longest time to wait.
+    pub limit: Duration,
+    /// The nodes to ask.
+    pub nodes: Vec<SocketAddr>,
+}
+
+impl Command {
+    /// Address of the store, for commands that use it.
+    #[must_use]
+    pub fn store(&self) -> Option<SocketAddr> {
+        match *self {
+            Self::Apply { store, .. }
+            | Self::Show { store, .. }
+            | Self::Domain { store, .. }
+            | Self::Reset { store, .. } => Some(store),
+            _ => None,
+        }
+    }
+}
+
+/// The parser of the command line.
+///
+/// # Example
+///
+/// ```
+/// use lagoondyke_cli::args::{Command, options};
+///
+/// let line = ["drain", "--node", "127.0.0.1:8101"];
+/// let command = options().run_inner(&line).unwrap();
+/// let node = "127.0.0.1:8101".parse().unwrap();
+/// assert_eq!(command, Command::Drain { node, wait: None });
+/// ```
+#[must_use]
+pub fn options() -> OptionParser<Command> {
+    let (check, apply, show) = (check(), apply(), show());
+    let (status, owner, explain) = (status(), owner(), explain());
+    let (domain, drain, group) = (domain(), drain(), group());
+    construct!([
+        check, apply, show, status, owner, explain, domain, drain, group
+    ])
+    .to_options()
+    .version(env!("CARGO_PKG_VERSION"))
+    .descr("Operates lagoondyke: configuration, domains, nodes and groups.")
+    .header(
+        "First steps: check a document, apply it, then look at the nodes.\n \
+         lagoondyke check examples/jutland.jsonc\n \
+         lagoondyke apply --store 127.0.0.1:7000 examples/jutland.jsonc\n \
+         lagoondyke status --node 127.0.0.1:8101",
+    )
+    .footer(format!("{EXIT_HELP}\n {COMPLETION}").as_str())
+    .fallback_to_usage()
+    .max_width(WIDTH)
+}
+
+/// Prints why there is no command to carry out: help, completion or a wrong
+/// command line.
+#[must_use]
+pub fn report(failure: &ParseFailure) -> ExitCode {
+    failure.print_message(WIDTH);
+    match failure {
+        ParseFailure::Stderr(_) => ExitCode::from(Exit::Usage as u8),
+        _ => ExitCode::SUCCESS,
+    }
+}
+
+fn store() -> impl Parser<SocketAddr> {
+    long("store")
+        .env("LAGOONDYKE_STORE")
+        .help("Address of the store's HTTP API, as IP:port")
+        .argument::<SocketAddr>("ADDR")
+}
+
+fn node() -> impl Parser<SocketAddr> {
+    long("node")
+        .help("Address on which the node serves callers, as IP:port")
+        .argument::<SocketAddr>("ADDR")
+}
+
+/// Addresses in one or more options, each a list with commas.
+fn list(
+    name: &'static str,
+    help: &'static str,
+) -> impl Parser<Vec<SocketAddr>> {
+    long(name)
+        .help(help)
+        .argument::<String>("ADDR,...")
+        .parse(|text| addresses(&text))
+        .many()
+        .map(|lists| lists.concat())
+}
+
+fn addresses(text: &str) -> Result<Vec<SocketAddr>, String> {
+    let mut list = Vec::new();
+    for part in text.split(',') {
+        let addr = part.parse().map_err(|_| {
+            format!("{part:?} is not an address such as 127.0.0.1:8101")
+        })?;
+        list.push(addr);
+    }
+    Ok(list)
+}
+
+fn nodes() -> impl Parser<Vec<SocketAddr>> {
+    list("node", "Nodes, by the addresses on which they serve callers")
+}
+
+fn limit() -> impl Parser<Duration> {
+    long("limit")
+        .help("Longest time to wait, in seconds")
+        .argument::<u64>("SECONDS")
+        .guard(|s| (1..=3_600).contains(s), "must be 1 to 3600 seconds")
+        .fallback(LIMIT)
+        .display_fallback()
+        .map(Duration::from_secs)
+}
+
+fn wait() -> impl Parser<Wait> {
+    let wait = long("wait")
+        .help("Wait until all nodes given by --node have the version in force")
+        .switch();
+    let (nodes, limit) = (nodes(), limit());
+    construct!(Wait { wait, limit, nodes }).guard(
+        |w| w.wait != w.nodes.is_empty(),
+        "--wait and --node ADDR belong together",
+    )
+}
+
+fn service() -> impl Parser<String> {
+    positional::<String>("SERVICE").help("Name of the service")
+}
+
+fn key() -> impl Parser<String> {
+    positional::<String>("KEY").help("The key as callers send it")
+}
+
+fn check() -> impl Parser<Command> {
+    let files = positional::<String>("FILE")
+        .help("Settings or configuration, - for standard input")
+        .complete_shell(ShellComp::File { mask: None })
+        .some("expected at least one file");
+    construct!(Command::Check { files })
+        .to_options()
+        .descr("Checks settings and configuration files without network.")
+        .footer(EXIT_HELP)
+        .command("check")
+        .help("Check settings and configuration files")
+}
+
+fn apply() -> impl Parser<Command> {
+    let store = store();
+    let expect = long("expect")
+        .help("Apply only if this version is current; 0 if there is none")
+        .argument::<u64>("VERSION")
+        .optional();
+    let wait = wait();
+    let file = positional::<String>("FILE")
+        .help("Configuration document, - for standard input")
+        .complete_shell(ShellComp::File { mask: None });
+    construct!(Command::Apply { store, expect, wait, file })
+        .to_options()
+        .descr("Applies a configuration document as a whole.")
+        .header(
+            "Without --expect the current version is read and the update is \
+             made on the condition that it has not changed since. To go back \
+             to an older document, apply it again: it gets a new version.",
+        )
+        .footer(EXIT_HELP)
+        .command("apply")
+        .help("Apply a configuration document")
+}
+
+fn operator() -> impl Parser<String> {
+    positional::<String>("OPERATOR").help("Name of the operator")
+}
+
+fn show() -> impl Parser<Command> {
+    let (store, operator) = (store(), operator());
+    construct!(Command::Show { store, operator })
+        .to_options()
+        .descr("Prints an operator's document; its version on stderr.")
+        .footer(EXIT_HELP)
+        .command("show")
+        .help("Print the configuration document of an operator")
+}
+
+fn status() -> impl Parser<Command> {
+    let nodes = nodes().guard(|n| !n.is_empty(), "--node ADDR is required");
+    let json = long("json").help("Print JSON instead of a table").switch();
+    construct!(Command::Status { nodes, json })
+        .to_options()
+        .descr("Prints the state of nodes, and the members at leaders.")
+        .footer(EXIT_HELP)
+        .command("status")
+        .help("Print the state of nodes")
+}
+
+fn owner() -> impl Parser<Command> {
+    let (node, service, key) = (node(), service(), key());
+    construct!(Command::Owner { node, service, key })
+        .to_options()
+        .descr("Prints the node that owns a key.")
+        .footer(EXIT_HELP)
+        .command("owner")
+        .help("Print the owner of a key")
+}
+
+fn explain() -> impl Parser<Command> {
+    let (node, service, key) = (node(), service(), key());
+    construct!(Command::Explain { node, service, key })
+        .to_options()
+        .descr("Explains step by step how a node finds the owner of a key.")
+        .footer(EXIT_HELP)
+        .command("explain")
+        .help("Explain how a node finds the owner of a key")
+}
+
+fn domain() -> impl Parser<Command> {
+    let out = turn(true)
+        .to_options()
+        .descr("Takes a domain out of service; it receives no new work.")
+        .footer(EXIT_HELP)
+        .command("out")
+        .help("Take a domain out of service");
+    let back = turn(false)
+        .to_options()
+        .descr("Puts a domain back into service.")
+        .footer(EXIT_HELP)
+        .command("in")
+        .help("Put a domain back into service");
+    construct!([out, back])
+        .to_options()
+        .descr("Takes a failure domain out of service or puts it back.")
+        .header(
+            "Changes one field of the operator's document and keeps its \
+             comments and layout. If another change comes first, the \
+             document is read and edited again.",
+        )
+        .command("domain")
+        .long("zone")
+        .help("Take a failure domain out of service or put it back")
+}
+
+fn turn(gone: bool) -> impl Parser<Command> {
+    let store = store();
+    let operator = long("operator")
+        .help("Name of the operator")
+        .argument::<String>("NAME");
+    let wait = wait();
+    let domain =
+        positional::<String>("DOMAIN").help("Name of the failure domain");
+    let gone = bpaf::pure(gone);
+    construct!(Command::Domain { gone, store, operator, wait, domain })
+}
+
+fn drain() -> impl Parser<Command> {
+    let node = node();
+    let switch = long("wait").help("Wait until it has stopped").switch();
+    let limit = limit();
+    let wait =
+        construct!(switch, limit).map(|(on, limit)| on.then_some(limit));
+    construct!(Command::Drain { node, wait })
+        .to_options()
+        .descr("Stops a node gracefully: its shards move, work is finished.")
+        .footer(EXIT_HELP)
+        .command("drain")
+        .help("Stop a node gracefully")
+}
+
+fn group() -> impl Parser<Command> {
+    let store = store();
+    let leader = long("leader")
+        .help("Peer address of the new leader, a running node of the service")
+        .argument::<SocketAddr>("ADDR");
+    let lost = list(
+        "confirm-lost",
+        "Peer addresses of all nodes in the record, each lost for good",
+    );
+    let service = service();
+    let index = positional::<u16>("INDEX").help("Index of the group");
+    let reset =
+        construct!(Command::Reset { store, leader, lost, service, index })
+            .to_options()
+            .descr("Gives a group a new leader after all others are lost.")
+            .header(
+                "Only for a group whose leader and standbys will never run \
+                 again. If one of them still runs, two leaders could grant \
+                 the same keys; the command refuses if one accepts \
+                 connections.",
+            )
+            .footer(EXIT_HELP)
+            .command("reset")
+            .help("Give a group a new leader");
+    reset
+        .to_options()
+        .descr("Repairs a group.")
+        .command("group")
+        .help("Repair a group whose leader and standbys are lost")
+}
--- /dev/null
+++ b/crates/cli/src/edit.rs
@@ -0,0 +1,110 @@
+//! Edits of a document's text that keep comments and layout.
+
+use lagoondyke_core::config::{Config, DOCUMENT_MAX};
+use lagoondyke_core::jsonc::{self, JsoncError};
+
+/// Why a text cannot be edited.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EditError {
+    /// The text is not a valid document, before or after the edit.
+    Invalid(JsoncError),
+    /// The document has no such domain.
+    NoDomain {
+        /// The name that was asked for.
+        name: String,
+        /// A domain with a similar name.
+        similar: Option<String>,
+    },
+    /// The edit would change something else as well.
+    Unclear,
+}
+
+impl std::fmt::Display for EditError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Invalid(e) => e.fmt(f),
+            Self::NoDomain { name, similar: None } => {
+                write!(f, "document has no domain {name:?}")
+            }
+            Self::NoDomain { name, similar: Some(similar) } => write!(
+                f,
+                "document has no domain {name:?}, did you mean {similar:?}?"
+            ),
+            Self::Unclear => f.write_str(
+                "the text cannot be edited safely; edit it and use apply",
+            ),
+        }
+    }
+}
+
+impl std::error::Error for EditError {}
+
+impl From<JsoncError> for EditError {
+    fn from(error: JsoncError) -> Self {
+        Self::Invalid(error)
+    }
+}
+
+/// The text with the domain `name` taken out of service or put back, or
+/// `None` if it is so already. All other bytes are kept.
+///
+/// # Errors
+///
+/// See [`EditError`].
+///
+/// # Example
+///
+/// ```
+/// use lagoondyke_cli::edit::set_domain;
+///
+/// let text = br#"{
+///     "operator": "jutland",
+///     "domains": { "aarhus": {}, "vejle": {} }, // two sites
+///     "services": {}
+/// }"#;
+/// let edited = set_domain(text, "vejle", true).unwrap().unwrap();
+/// let edited = String::from_utf8(edited).unwrap();
+/// assert!(edited.contains(r#""vejle": { "out": true } }, // two sites"#));
+/// ```
+pub fn set_domain(
+    text: &[u8],
+    name: &str,
+    out: bool,
+) -> Result<Option<Vec<u8>>, EditError> {
+    let before = Config::parse(text, None)?;
+    let Some(domain) = before.domains.get(name) else {
+        let known = before.domains.keys().map(String::as_str);
+        let similar = jsonc::suggest(name, known).map(str::to_owned);
+        return Err(EditError::NoDomain { name: name.to_owned(), similar });
+    };
+    if domain.out == out {
+        return Ok(None);
+    }
+    let mut wanted = before.clone();
+    wanted.domains.entry(name.to_owned()).or_default().out = out;
+    let edited = replace(text, name, out)?;
+    if Config::parse(&edited, Some(&before))? != wanted {
+        return Err(EditError::Unclear);
+    }
+    Ok(Some(edited))
+}
+
+/// Replaces the value of `out`, or adds the field.
+fn replace(text: &[u8], name: &str, out: bool) -> Result<Vec<u8>, EditError> {
+    let field = ["domains", name, "out"];
+    if let Some(span) = jsonc::span(text, DOCUMENT_MAX, &field)? {
+        let value = out.to_string();
+        return Ok(splice(text, span.start, span.end, &value));
+    }
+    let object = jsonc::span(text, DOCUMENT_MAX, &field[..2])?;
+    let object = object.ok_or(EditError::Unclear)?;
+    // A domain has no other field, so the object is empty but for comments.
+    let inside = &text[object.start + 1..object.end - 1];
+    let space = if inside.is_empty() { " " } else { "" };
+    let value = format!(" \"out\": {out}{space}");
+    Ok(splice(text, object.start + 1, object.start + 1, &value))
+}
+
+fn splice(text: &[u8], start: usize, end: usize, value: &str) -> Vec<u8> {
+    [&text[..start], value.as_bytes(), &text[end..]].concat()
+}
--- /dev/null
+++ b/crates/cli/src/render.rs
@@ -0,0 +1,200 @@
+//! Tables and explanations.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+use lagoondyke_core::status::{Located, Status};
+use serde_json::{Value, json};
+
+use crate::outside::CallError;
+
+/// A node and what it answered.
+pub type Row = (SocketAddr, Result<Status, CallError>);
+
+/// Aligns columns; the first row is the heading.
+///
+/// # Example
+///
+/// ```
+/// use lagoondyke_cli::render::table;
+///
+/// let rows = [vec!["NODE", "SHARDS"], vec!["a", "12"]];
+/// let rows: Vec<Vec<String>> = rows
+///     .iter()
+///     .map(|r| r.iter().map(|&s| s.to_owned()).collect())
+///     .collect();
+/// assert_eq!(table(&rows), "NODE  SHARDS\na     12\n");
+/// ```
+#[must_use]
+pub fn table(rows: &[Vec<String>]) -> String {
+    let mut widths = Vec::new();
+    for row in rows {
+        widths.resize(widths.len().max(row.len()), 0);
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = cell.chars().count().max(*width);
+        }
+    }
+    let mut out = String::new();
+    for row in rows {
+        let mut line = String::new();
+        for (&width, cell) in widths.iter().zip(row) {
+            let _ = write!(line, "{cell:width$}  ");
+        }
+        out.push_str(line.trim_end());
+        out.push('\n');
+    }
+    out
+}
+
+/// The nodes as a table, then the members of each leader among them.
+#[must_use]
+pub fn statuses(rows: &[Row]) -> String {
+    let mut lines = vec![heads(&[
+        "NODE", "DOMAIN", "SERVICE", "CONFIG", "LEADER", "EPOCH", "LEASE",
+        "SHARDS", "BUSY", "QUEUED", "LIMIT", "STATE",
+    ])];
+    for (node, answer) in rows {
+        lines.push(match answer {
+            Ok(status) => line(*node, status),
+            Err(e) => vec![format!("{node}  {e}")],
+        });
+    }
+    let mut out = table_with_notes(&lines);
+    for (node, answer) in rows {
+        let Ok(status) = answer else { continue };
+        if status.leads {
+            let _ = writeln!(out, "\nMembers of the leader {node}:");
+            out.push_str(&members(status));
+        }
+    }
+    out
+}
+
+/// A table in which a row of one cell is a note across all columns.
+fn table_with_notes(rows: &[Vec<String>]) -> String {
+    let full: Vec<Vec<String>> =
+        rows.iter().filter(|r| r.len() > 1).cloned().collect();
+    let mut out = table(&full);
+    for row in rows {
+        if let [note] = row.as_slice() {
+            out.push_str(note);
+            out.push('\n');
+        }
+    }
+    out
+}
+
+fn line(node: SocketAddr, s: &Status) -> Vec<String> {
+    let leader = s.leader.map_or("-".to_owned(), |l| l.to_string());
+    let moving = if s.revoked == 0 {
+        s.shards.to_string()
+    } else {
+        format!("{} (-{})", s.shards, s.revoked)
+    };
+    vec![
+        node.to_string(),
+        s.domain.clone(),
+        s.service.clone(),
+        s.config.to_string(),
+        if s.leads { "itself".to_owned() } else { leader },
+        s.epoch.to_string(),
+        format!("{} ms", s.lease),
+        moving,
+        s.busy.to_string(),
+        s.queued.to_string(),
+        s.limit.to_string(),
+        state(s).to_owned(),
+    ]
+}
+
+/// The most important thing about a node in a few words.
+#[must_use]
+pub fn state(s: &Status) -> &'static str {
+    match s {
+        Status { leaving: true, .. } => "leaving",
+        Status { config: 0, .. } => "no configuration",
+        Status { upstream: false, .. } => "upstream down",
+        Status { lease: 0, .. } => "no lease",
+        _ => "ready",
+    }
+}
+
+fn members(status: &Status) -> String {
+    let mut lines = vec![heads(&[
+        "MEMBER", "DOMAIN", "SHARDS", "BUSY", "LIMIT", "SILENT", "STATE",
+    ])];
+    for m in &status.members {
+        let state = if m.leaving { "leaving" } else { "member" };
+        lines.push(vec![
+            m.node.to_string(),
+            m.domain.clone(),
+            m.shards.to_string(),
+            m.busy.to_string(),
+            m.limit.to_string(),
+            format!("{} ms", m.silent),
+            state.to_owned(),
+        ]);
+    }
+    table(&lines)
+}
+
+fn heads(names: &[&str]) -> Vec<String> {
+    names.iter().map(|&n| n.to_owned()).collect()
+}
+
+/// The nodes as a JSON array of `{node, status}` or `{node, error}`.
+#[must_use]
+pub fn statuses_json(rows: &[Row]) -> String {
+    let mut list = Vec::new();
+    for (node, answer) in rows {
+        list.push(match answer {
+            Ok(status) => json!({ "node": node, "status": status }),
+            Err(e) => json!({ "node": node, "error": e.to_string() }),
+        });
+    }
+    format!("{:#}\n", Value::Array(list))
+}
+
+/// How a node finds the owner of a key, step by step.
+#[must_use]
+pub fn explain(service: &str, key: &str, at: &Located) -> String {
+    let mut steps = Vec::new();
+    if at.config == 0 {
+        steps.push("The node has no configuration yet.".to_owned());
+    } else {
+        steps.push(format!("Configuration {} is in force.", at.config));
+    }
+    if !at.known {
+        steps.push(format!("It has no service {service:?}."));
+    } else if at.keyed {
+        steps.push(format!("Service {service} is partitioned by key."));
+        let hash = at.hash.0;
+        let shard = at.shard;
+        steps.push(format!("Key {key:?} has hash {hash:016x}."));
+        steps.push(if at.pinned {
+            format!("The key is hot and has shard {shard} of its own.")
+        } else {
+            format!("The hash falls into shard {shard}.")
+        });
+        steps.push(format!("Group {} decides who owns it.", at.group));
+        steps.push(leader(at));
+        steps.push(match at.owner {
+            Some(owner) => format!("Node {owner} owns the key."),
+            None => "The node knows no owner of the key yet.".to_owned(),
+        });
+    } else {
+        steps.push(format!("Any upstream of {service} serves any key."));
+    }
+    let mut out = String::new();
+    for (i, step) in steps.iter().enumerate() {
+        let _ = writeln!(out, "{}. {step}", i + 1);
+    }
+    out
+}
+
+fn leader(at: &Located) -> String {
+    match at.leader {
+        Some(leader) => format!("{leader} leads it in epoch {}.", at.epoch),
+        None => "The node does not know its leader yet.".to_owned(),
+    }
+}
--- a/crates/core/src/jsonc.rs
+++ b/crates/core/src/jsonc.rs
@@ -9,6 +9,7 @@
 
 use std::collections::HashSet;
 use std::io::Read;
+use std::ops::Range;
 
 use json_comments::CommentSettings;
 use serde::de::{DeserializeOwned, IgnoredAny};
@@ -191,6 +192,55 @@
     parse_with(text, limit, &[], |_| Ok(()))
 }
 
+/// The names of the fields of the outermost object, in the order written.
+///
+/// # Errors
+///
+/// Returns an error if the text is oversized, is not JSON with comments, or
+/// has a field twice.
+///
+/// # Example
+///
+/// ```
+/// use lagoondyke_core::jsonc::fields;
+///
+/// let text = br#"{ "b": { "c": 1 }, "a": 2 } // end"#;
+/// assert_eq!(fields(text, 100).unwrap(), ["b", "a"]);
+/// ```
+pub fn fields(text: &[u8], limit: usize) -> Result<Vec<String>, JsoncError> {
+    let text = Text::new(text, limit)?;
+    let top = text.places.iter().skip(1).filter(|p| p.parent == 0);
+    Ok(top.map(|p| p.name.clone()).collect())
+}
+
+/// Offsets of the value of the field at `path`, or `None` if the text has no
+/// such field. An editor replaces these bytes and keeps all others.
+///
+/// # Errors
+///
+/// Returns an error if the text is oversized, is not JSON with comments, or
+/// has a field twice.
+///
+/// # Example
+///
+/// ```
+/// use lagoondyke_core::jsonc::span;
+///
+/// let text = br#"{ "a": { "b": /* one */ 1 } }"#;
+/// assert_eq!(span(text, 100, &["a", "b"]).unwrap(), Some(24..25));
+/// assert_eq!(span(text, 100, &["b"]).unwrap(), None);
+/// ```
+pub fn span(
+    text: &[u8],
+    limit: usize,
+    path: &[&str],
+) -> Result<Option<Range<usize>>, JsoncError> {
+    let text = Text::new(text, limit)?;
+    let path: Vec<String> = path.iter().map(|&s| s.to_owned()).collect();
+    let place = text.find(&path).map(|i| &text.places[i]);
+    Ok(place.map(|p| p.start..p.end))
+}
+
 /// Parses a text and applies `rules` and then `check` to it.
 pub(crate) fn parse_with<T: DeserializeOwned>(
     text: &[u8],
@@ -337,8 +387,12 @@
 
     /// The field at `path`.
     fn find(&self, path: &[String]) -> Option<usize> {
-        let path: Vec<&str> = path.iter().map(String::as_str).collect();
-        (1..self.places.len()).find(|&i| self.matches(i, &path))
+        let mut at = 0;
+        for name in path {
+            let named = |p: &Place| p.parent == at && p.name == *name;
+            at = 1 + self.places.iter().skip(1).position(named)?;
+        }
+        (at != 0).then_some(at)
     }
 
     /// The innermost field that contains the byte at `offset`.
--- a/crates/core/src/status.rs
+++ b/crates/core/src/status.rs
@@ -1,11 +1,13 @@
 //! The operator's view of a node.
 //!
-//! `GET /lagoondyke/status` answers with a [`Status`] as JSON; the
-//! `lagoondyke` command renders it.
+//! `GET /lagoondyke/status` answers with a [`Status`] as JSON, and
+//! `GET /lagoondyke/owner`, with the headers `Lagoondyke-Service` and
+//! `Lagoondyke-Key`, with a [`Located`]; the `lagoondyke` command renders
+//! both.
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{Epoch, NodeAddr};
+use crate::id::{Epoch, KeyHash, NodeAddr, Shard};
 
 /// A node's state at one moment.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -61,3 +63,29 @@
     /// Whether it is leaving or its domain is out.
     pub leaving: bool,
 }
+
+/// Where a node would send a request for a key at one moment.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Located {
+    /// Version of the configuration in force at the node; 0 for none.
+    pub config: u64,
+    /// Whether the configuration has the service.
+    pub known: bool,
+    /// Whether each key of the service has one owner.
+    pub keyed: bool,
+    /// Hash of the key.
+    pub hash: KeyHash,
+    /// The shard that holds the key.
+    pub shard: Shard,
+    /// Whether the shard holds this key alone, since it is hot.
+    pub pinned: bool,
+    /// Index of the group that is responsible for the shard.
+    pub group: u16,
+    /// The group's leader, if the node knows it.
+    pub leader: Option<NodeAddr>,
+    /// Epoch of the leader.
+    pub epoch: Epoch,
+    /// The owner, if the node knows it.
+    pub owner: Option<NodeAddr>,
+}
