Show the completion options in the command's help

The help text dropped all lines of the footer but its first paragraph, and an example kept a borrow of a temporary.

Ran: cargo test -p lagoondyke-cli, help text by hand.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -139,8 +139,8 @@
 /// ```
 /// use lagoondyke_cli::args::{Command, options};
 ///
-/// let line = ["drain", "--node", "127.0.0.1:8101"];
-/// let command = options().run_inner(&line).unwrap();
+/// let line = &["drain", "--node", "127.0.0.1:8101"];
+/// let command = options().run_inner(line).unwrap();
 /// let node = "127.0.0.1:8101".parse().unwrap();
 /// assert_eq!(command, Command::Drain { node, wait: None });
 /// ```
@@ -161,7 +161,7 @@
          lagoondyke apply --store 127.0.0.1:7000 examples/jutland.jsonc\n \
          lagoondyke status --node 127.0.0.1:8101",
     )
-    .footer(format!("{EXIT_HELP}\n {COMPLETION}").as_str())
+    .footer(format!("{EXIT_HELP} {COMPLETION}").as_str())
     .fallback_to_usage()
     .max_width(WIDTH)
 }
