--- a/crates/cli/src/group.rs
+++ b/crates/cli/src/group.rs
@@ -7,7 +7,7 @@
 
 use lagoondyke_core::clock::{LEASE, PROMISE, with_drift};
 use lagoondyke_core::id::{Epoch, NodeAddr};
-use lagoondyke_core::record::{Record, object_name};
+use lagoondyke_core::record::{Record, Tenure, object_name};
 
 use crate::apply::Change;
 use crate::exit::{Exit, Failure};
@@ -58,6 +58,8 @@
             leader: NodeAddr(self.leader),
             standbys: Vec::new(),
             writer,
+            // Leases that the lost leader granted may last one more term.
+            tenure: Tenure::Ceded,
         })
     }
 
