Hand over with shards in motion, and let late claims keep their shards

A rolling restart left four keys unserved for 1.6 s: shards released to a new leader waited as if an unknown member might hold them. Slots now record that nobody holds them. A member no longer claims a shard that it reported as released, since the old leader may have granted it onwards.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -78,7 +78,7 @@
     /// The member wants to give up all its shards.
     pub leaving: bool,
     /// Sent until the leader has confirmed it.
-    pub detail: Option<Detail>,
+    pub detail: Option<Box<Detail>>,
     /// Keys that carry an outstanding part of the member's work.
     pub hot: Vec<HotKey>,
     /// Requests in flight when the upstream crashed, once for each crash.
--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -117,6 +117,8 @@
     seen: (Epoch, Tenure, Millis),
     /// Until when leases of the leader that this node replaces may last.
     orphan: Millis,
+    /// No lease of another leader can be valid or is worth collecting.
+    fresh: bool,
 }
 
 /// Ownership and membership at one node.
@@ -217,6 +219,7 @@
             book: Book::new(name, self.seed, calls),
             seen: (Epoch(0), Tenure::Led, self.start),
             orphan: Millis(0),
+            fresh: true,
         });
         Some(spec)
     }
@@ -479,8 +482,7 @@
         let me = self.seat.addr;
         let led = record.tenure == Tenure::Led;
         if led && record.leader == me && place.book.own() {
-            let fresh = record.epoch == Epoch(1);
-            let orphan = place.orphan;
+            let (fresh, orphan) = (place.fresh, place.orphan);
             self.begin(record.epoch, fresh, orphan, view, now, out);
             return;
         }
@@ -492,6 +494,7 @@
             Tenure::Ceded => now.plus(SPAN),
             _ => now,
         };
+        place.fresh = record.tenure == Tenure::Vacant;
         let mut next = record.clone();
         next.epoch = Epoch(record.epoch.0.max(self.member.epoch.0) + 1);
         next.leader = me;
--- a/crates/core/src/group/leader.rs
+++ b/crates/core/src/group/leader.rs
@@ -86,6 +86,20 @@
     since: u32,
     /// Plan version that revoked it.
     revoked: Option<u32>,
+    /// Without an owner, and known to be held by nobody.
+    free: bool,
+}
+
+impl Slot {
+    /// A shard that nobody holds.
+    fn free() -> Self {
+        Self { free: true, ..Self::default() }
+    }
+
+    /// A shard that `owner` was granted at plan version `since`.
+    fn owned(owner: NodeAddr, since: u32) -> Self {
+        Self { owner: Some(owner), since, ..Self::default() }
+    }
 }
 
 /// A standby or candidate's promises.
@@ -413,6 +427,7 @@
         }
         self.note_suspects(from, beat, now, out);
         self.release(from, beat);
+        self.take_late_claim(from, beat, now);
         self.advance(facts, out);
         self.lease(from, beat.plan, authority, facts)
     }
@@ -484,7 +499,7 @@
             if !self.collected && beat.sent >= peer.sent {
                 peer.claim = Some((beat.plan, beat.lease > 0));
             }
-            peer.detail = Some(detail.clone());
+            peer.detail = Some((**detail).clone());
         }
     }
 
@@ -519,7 +534,7 @@
             if slot.owner != Some(from) || !after {
                 continue;
             }
-            *slot = Slot::default();
+            *slot = Slot::free();
             self.touch(from);
         }
     }
@@ -666,7 +681,7 @@
         for node in gone {
             for slot in self.slots.values_mut() {
                 if slot.owner == Some(node) {
-                    *slot = Slot::default();
+                    *slot = Slot::free();
                 }
             }
             self.touch(node);
@@ -717,16 +732,35 @@
         for (_, node, held) in claims {
             for shard in held {
                 let Some(slot) = self.slots.get_mut(&shard) else { continue };
-                *slot = Slot {
-                    owner: Some(node),
-                    since: self.version,
-                    revoked: None,
-                };
+                *slot = Slot::owned(node, self.version);
             }
         }
         self.touch_all();
     }
 
+    /// Grants shards back to a member that reports only after the time for
+    /// collecting, while its lease by the old leader is valid.
+    fn take_late_claim(
+        &mut self,
+        from: NodeAddr,
+        beat: &Heartbeat,
+        now: Millis,
+    ) {
+        let Some(detail) = &beat.detail else { return };
+        if !self.collected || now >= self.orphan || beat.lease == 0 {
+            return;
+        }
+        if beat.plan.epoch >= self.epoch {
+            return;
+        }
+        for shard in &detail.held {
+            let slot = self.slots.get(shard);
+            if slot.is_some_and(|s| s.owner.is_none() && !s.free) {
+                self.give(*shard, from);
+            }
+        }
+    }
+
     /// Grants free shards and revokes those that should move.
     fn move_shards(&mut self, facts: Facts<'_>) {
         let now = facts.now;
@@ -753,7 +787,9 @@
             let slot = self.slots[&shard];
             let wanted = wanted.map(|i| nodes[i]);
             match (slot.owner, wanted) {
-                (None, Some(node)) if settled => self.give(shard, node),
+                (None, Some(node)) if slot.free || settled => {
+                    self.give(shard, node);
+                }
                 (Some(node), wanted)
                     if slot.revoked.is_none()
                         && wanted != Some(node)
@@ -792,8 +828,7 @@
 
     fn give(&mut self, shard: Shard, node: NodeAddr) {
         self.touch(node);
-        let slot =
-            Slot { owner: Some(node), since: self.version, revoked: None };
+        let slot = Slot::owned(node, self.version);
         self.slots.insert(shard, slot);
     }
 
--- a/crates/core/src/group/member.rs
+++ b/crates/core/src/group/member.rs
@@ -235,15 +235,19 @@
             limit: load.limit,
             config: self.config,
             leaving,
-            detail: (!self.known).then(|| self.detail(seat)),
+            detail: (!self.known).then(|| self.detail(seat, load).into()),
             hot: load.hot.clone(),
             suspects: load.suspects.clone(),
         }
     }
 
-    fn detail(&self, seat: &Seat) -> Detail {
+    /// What a leader must know once. A shard that was reported as released
+    /// may have been granted to another member and is not claimed.
+    fn detail(&self, seat: &Seat, load: &Load) -> Detail {
+        let released = self.released(load);
         let pin = |(&key, &shard)| Pin { key, shard };
-        let held = self.shards.keys().chain(&self.revoked).copied();
+        let revoked = self.revoked.iter().filter(|s| !released.contains(s));
+        let held = self.shards.keys().chain(revoked).copied();
         let pins = self.pins.iter().map(pin);
         Detail {
             domain: seat.domain.clone(),
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -87,6 +87,7 @@
     /// Configuration version that the node knows.
     pub version: u64,
     work: Vec<(KeyHash, Shard, u64)>,
+    leaving: bool,
 }
 
 /// The whole simulation.
@@ -194,6 +195,7 @@
             held: None,
             version: self.configs.len() as u64,
             work: Vec::new(),
+            leaving: false,
         });
         self.start(node);
         node
@@ -223,6 +225,7 @@
         host.routes = Routes::new();
         host.held = None;
         host.work.clear();
+        host.leaving = false;
         let life = host.life;
         let phase = self.rng.random_range(0..TICK * MS);
         self.push(phase, Item::Tick { node, life });
@@ -275,6 +278,7 @@
     pub fn leave(&mut self, node: usize) {
         let now = self.clock(node);
         let mut out = Vec::new();
+        self.hosts[node].leaving = true;
         if let Some(group) = &mut self.hosts[node].group {
             group.leave(now, &mut out);
         }
@@ -339,7 +343,8 @@
         self.cut.clear();
         for node in 0..self.hosts.len() {
             self.wake(node);
-            if self.status(node).leaving || self.hosts[node].group.is_none() {
+            let host = &self.hosts[node];
+            if host.leaving || host.group.is_none() {
                 self.start(node);
             }
         }
