Derive the upstream's concurrency limit from what is observed

A fixed limit drives a cold upstream into collapse. The limit now begins at 1, grows while it is used in full and latency stays near its base, and falls to 1 when latency is far above its long-term floor. A jump of latency that a cut does not cure is accepted, since a cut would only lose throughput. The queue is ordered by deadline within a partner and shared by weight between partners; what cannot meet its deadline is shed.

The last two are the price of caution.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -22,9 +22,11 @@
 use crate::status::Status;
 use crate::verdict::Reason;
 
+pub mod admit;
 pub mod dedupe;
 mod flow;
 pub mod retry;
+pub mod share;
 
 /// Permission to serve, as the request path sees it.
 pub trait Ownership: Debug {
@@ -169,8 +171,9 @@
     deadlines: BTreeSet<(Millis, usize)>,
     /// Entries without an owner, by when they look for it again.
     waiting: BTreeSet<(Millis, usize)>,
-    /// Entries that wait for a slot of the upstream, by deadline.
-    queue: BTreeSet<(Millis, usize)>,
+    /// Entries that wait for a slot of the upstream.
+    queue: share::Queue,
+    limit: admit::Limit,
     /// Entries at the upstream, at most `slots`.
     running: Vec<usize>,
     /// The upstream is reachable.
@@ -183,16 +186,17 @@
 impl Requests {
     /// A node without requests. `seed` seeds random choices.
     #[must_use]
-    pub fn new(local: Local, seed: u64, _now: Millis) -> Self {
+    pub fn new(local: Local, seed: u64, now: Millis) -> Self {
         let limits = dedupe::Limits::default();
         Self {
             dedupe: dedupe::Dedupe::new(local.incarnation, limits),
-            local,
             entries: Slab::new(),
             tickets: HashMap::new(),
             deadlines: BTreeSet::new(),
             waiting: BTreeSet::new(),
-            queue: BTreeSet::new(),
+            queue: share::Queue::new(),
+            limit: admit::Limit::new(local.slots, now),
+            local,
             running: Vec::new(),
             up: true,
             retries: retry::Budget::new(
@@ -249,7 +253,7 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(&id) = self.tickets.get(&ticket) else { return };
-        self.abandon(id, Reason::Cancelled, "the caller went away", out);
+        self.abandon(id, Reason::Cancelled, "the caller went away", now, out);
         self.pump(&mut view, now, out);
     }
 
@@ -257,8 +261,10 @@
     ///
     /// The shell reports the requests that were in flight one by one as
     /// well, before or after this.
-    pub fn upstream_down(&mut self, _now: Millis, out: &mut Vec<Effect>) {
+    pub fn upstream_down(&mut self, now: Millis, out: &mut Vec<Effect>) {
         self.up = false;
+        self.limit.crashed(now);
+        self.empty_queue(now, out);
         out.push(Effect::Notice(crate::effect::Notice::UpstreamDown));
     }
 
@@ -276,6 +282,7 @@
         out: &mut Vec<Effect>,
     ) {
         self.expire(now, out);
+        self.check_stalls(&mut view, now, out);
         self.check_leases(&mut view, now, out);
         self.wake(&mut view, now, out);
         self.pump(&mut view, now, out);
@@ -286,7 +293,7 @@
     pub fn load(&self, _now: Millis) -> Load {
         let mut load = Load {
             busy: self.running.len() as u16,
-            limit: self.limit() as u16,
+            limit: self.limit.value() as u16,
             ..Load::default()
         };
         for &id in &self.running {
@@ -313,11 +320,7 @@
         status.service.clone_from(&self.local.service);
         status.busy = self.running.len();
         status.queued = self.queue.len();
-        status.limit = self.limit();
+        status.limit = self.limit.value();
         status.upstream = self.up;
     }
-
-    fn limit(&self) -> usize {
-        usize::from(self.local.slots)
-    }
 }
--- a/crates/core/src/request/flow.rs
+++ b/crates/core/src/request/flow.rs
@@ -14,6 +14,7 @@
 use crate::event::{Arrival, Outcome, Source};
 use crate::group::Grant;
 use crate::id::{Incarnation, KeyHash, NodeAddr, Shard, Ticket};
+use crate::request::admit::Sample;
 use crate::request::dedupe::{Ask, End, Opened, malformed_scope, parse_scope};
 use crate::request::retry::pause;
 use crate::request::{Requests, View};
@@ -27,8 +28,9 @@
 /// Most requests that a node holds; bounds the memory for their bodies.
 const REQUESTS_MAX: usize = 16_384;
 
-/// Requests that may wait for the upstream, per slot of its limit.
-const QUEUE_PER_SLOT: usize = 2;
+/// Requests that may wait for the upstream, per slot. A full queue takes
+/// four times the latency of a request to serve at the full limit.
+const QUEUE_PER_SLOT: usize = 4;
 
 /// Time for which a request waits for the node of its idempotency scope, in
 /// milliseconds: a new ingress knows only some groups' maps at first.
@@ -37,6 +39,9 @@
 /// Suggested pause of a caller that was refused for load, in milliseconds.
 const RETRY_AFTER: u32 = 100;
 
+/// Longest suggested pause, in milliseconds.
+const RETRY_AFTER_MAX: u32 = 5_000;
+
 /// An attempt at a peer that has not ended.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Attempt {
@@ -52,7 +57,7 @@
     /// Waiting for a slot of the upstream.
     Queued,
     /// At the upstream.
-    Running { shard: Option<Shard> },
+    Running { shard: Option<Shard>, since: Millis },
     /// At a peer.
     Forwarded { attempt: Attempt },
 }
@@ -79,7 +84,7 @@
     /// The shard under which the request runs at the upstream.
     pub(super) fn shard(&self) -> Option<Shard> {
         match self.phase {
-            Phase::Running { shard } => shard,
+            Phase::Running { shard, .. } => shard,
             _ => None,
         }
     }
@@ -111,7 +116,7 @@
             return;
         }
         if self.entries.len() >= REQUESTS_MAX {
-            let refusal = overloaded("the node holds too many requests");
+            let refusal = overloaded("the node holds too many requests", 0);
             out.push(Effect::Refuse { ticket, refusal });
             return;
         }
@@ -179,7 +184,7 @@
         let entry = &self.entries[id];
         let service = &entry.head.service;
         let reason = match self.permit(&entry.head, spec, view, now) {
-            Ok(grant) => return self.admit(id, grant, now, out),
+            Ok(grant) => return self.admit(id, spec, grant, now, out),
             Err(reason) => reason,
         };
         if entry.head.source == Source::Peer || reason == Reason::Moving {
@@ -214,7 +219,7 @@
         let own = self.permit(&entry.head, spec, view, now).is_ok();
         if entry.head.source == Source::Peer {
             if own {
-                self.admit(id, None, now, out);
+                self.admit(id, spec, None, now, out);
             } else {
                 self.hold(id, Reason::NotOwner, now, out);
             }
@@ -223,6 +228,7 @@
         let members = view.routes.members(service, spec, now, out);
         if let Some(scope) = entry.scope() {
             let scope = parse_scope(scope);
+            let own = own.then_some(spec);
             self.place_scoped(id, scope, &members, own, now, out);
             return;
         }
@@ -238,7 +244,7 @@
         }
         let to = usable[self.random.random_range(0..usable.len())];
         if to == here {
-            self.admit(id, None, now, out);
+            self.admit(id, spec, None, now, out);
         } else {
             self.forward(id, to, now, out);
         }
@@ -251,7 +257,7 @@
         id: usize,
         scope: Option<(Incarnation, u32)>,
         members: &[MapMember],
-        own: bool,
+        own: Option<&Service>,
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
@@ -259,8 +265,10 @@
             self.refuse(id, malformed_scope(), out);
             return;
         };
-        if own && node == self.local.incarnation {
-            self.admit(id, None, now, out);
+        if let Some(spec) = own
+            && node == self.local.incarnation
+        {
+            self.admit(id, spec, None, now, out);
             return;
         }
         let entry = &self.entries[id];
@@ -322,7 +330,7 @@
             return;
         }
         if entry.deadline <= now {
-            self.abandon(id, Reason::DeadlineBefore, DEADLINE, out);
+            self.abandon(id, Reason::DeadlineBefore, DEADLINE, now, out);
             return;
         }
         let attempt = Attempt { number: entry.attempts, to };
@@ -340,6 +348,7 @@
     fn admit(
         &mut self,
         id: usize,
+        spec: &Service,
         grant: Option<Grant>,
         now: Millis,
         out: &mut Vec<Effect>,
@@ -353,18 +362,49 @@
             self.wait_or_refuse(id, refusal, now, out);
             return;
         }
-        if self.running.len() < self.limit() && self.queue.is_empty() {
+        let room = self.running.len() < self.limit.value();
+        if room && self.queue.is_empty() {
             self.dispatch(id, grant, now, out);
             return;
         }
-        if self.queue.len() >= self.limit() * QUEUE_PER_SLOT {
-            let refusal = overloaded("the upstream's queue is full");
-            self.refuse(id, refusal, out);
+        self.enqueue(id, spec, now, out);
+    }
+
+    /// Queues a request for the upstream, or sheds one.
+    fn enqueue(
+        &mut self,
+        id: usize,
+        spec: &Service,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        self.limit.used_in_full();
+        let entry = &mut self.entries[id];
+        let deadline = entry.deadline;
+        let partner = entry.head.partner.as_deref().unwrap_or_default();
+        let weight = spec.partners.get(partner).copied().unwrap_or(1);
+        let ahead = self.queue.ahead(partner, weight, deadline);
+        let wait = self.limit.expected_wait(ahead + 1);
+        if now.plus(wait + self.limit.least_time()) >= deadline {
+            let detail = "the upstream is too busy to meet the deadline";
+            self.refuse(id, overloaded(detail, wait), out);
             return;
         }
-        let entry = &mut self.entries[id];
+        let most = usize::from(self.local.slots) * QUEUE_PER_SLOT;
+        let full = self.queue.len() >= most;
+        let evicted =
+            full.then(|| self.queue.evict_for(partner, weight)).flatten();
+        if full && evicted.is_none() {
+            let detail = "the upstream's queue is full";
+            self.refuse(id, overloaded(detail, wait), out);
+            return;
+        }
+        self.queue.push(partner, weight, (deadline, id));
         entry.phase = Phase::Queued;
-        self.queue.insert((entry.deadline, id));
+        if let Some((_, other)) = evicted {
+            let detail = "the queue is full of this partner's requests";
+            self.refuse(other, overloaded(detail, wait), out);
+        }
     }
 
     /// Ends a request whose idempotency key is known or cannot be checked.
@@ -405,11 +445,15 @@
     ) {
         let entry = &mut self.entries[id];
         if entry.deadline <= now {
-            self.abandon(id, Reason::DeadlineBefore, DEADLINE, out);
+            self.abandon(id, Reason::DeadlineBefore, DEADLINE, now, out);
             return;
         }
-        entry.phase = Phase::Running { shard: grant.map(|g| g.shard) };
+        entry.phase =
+            Phase::Running { shard: grant.map(|g| g.shard), since: now };
         self.running.push(id);
+        if self.running.len() >= self.limit.value() {
+            self.limit.used_in_full();
+        }
         out.push(Effect::Dispatch {
             ticket: entry.head.ticket,
             fence: grant.map(|g| (g.shard, g.fence)),
@@ -425,9 +469,14 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        while self.up && self.running.len() < self.limit() {
-            let Some((_, id)) = self.queue.pop_first() else { return };
+        while self.up && self.running.len() < self.limit.value() {
+            let Some((deadline, id)) = self.queue.pop() else { return };
             self.entries[id].phase = Phase::Waiting { due: now };
+            if now.plus(self.limit.least_time()) >= deadline {
+                let detail = "the deadline is too near for an answer";
+                self.abandon(id, Reason::DeadlineBefore, detail, now, out);
+                continue;
+            }
             let head = &self.entries[id].head;
             let spec = view.config.and_then(|c| c.services.get(&head.service));
             let permit = spec.map(|spec| self.permit(head, spec, view, now));
@@ -502,7 +551,7 @@
         if !matches!(self.entries[id].phase, Phase::Running { .. }) {
             return;
         }
-        self.leave_upstream(id, now);
+        self.leave_upstream(id, sample(&outcome), now);
         match outcome {
             Outcome::Answered { size, .. } => {
                 let entry = self.finish(id);
@@ -620,7 +669,7 @@
             if deadline > now {
                 return;
             }
-            self.abandon(id, Reason::DeadlineBefore, DEADLINE, out);
+            self.abandon(id, Reason::DeadlineBefore, DEADLINE, now, out);
         }
     }
 
@@ -657,7 +706,7 @@
                 place += 1;
                 continue;
             }
-            self.leave_upstream(id, now);
+            self.leave_upstream(id, Some(Sample::Cancelled), now);
             let ticket = self.entries[id].head.ticket;
             out.push(Effect::AbortUpstream { ticket });
             let detail = "the lease ended while the request was in flight";
@@ -673,7 +722,8 @@
         now: Millis,
     ) -> bool {
         let entry = &mut self.entries[id];
-        let Phase::Running { shard: Some(shard) } = &mut entry.phase else {
+        let Phase::Running { shard: Some(shard), .. } = &mut entry.phase
+        else {
             return true;
         };
         let head = &entry.head;
@@ -690,9 +740,69 @@
         }
     }
 
-    fn leave_upstream(&mut self, id: usize, now: Millis) {
+    /// Takes a request off the upstream.
+    fn leave_upstream(
+        &mut self,
+        id: usize,
+        sample: Option<Sample>,
+        now: Millis,
+    ) {
         self.running.retain(|&other| other != id);
-        self.entries[id].phase = Phase::Waiting { due: now };
+        let entry = &mut self.entries[id];
+        if let Phase::Running { since, .. } = entry.phase
+            && let Some(sample) = sample
+        {
+            self.limit.ended(since, sample, now);
+        }
+        entry.phase = Phase::Waiting { due: now };
+    }
+
+    /// Looks for requests that have been at the upstream for so long that it
+    /// must have turned cold. Idempotent ones but one are cancelled and
+    /// queued again: an upstream that turned cold under full load does not
+    /// recover while it has all of it.
+    pub(super) fn check_stalls(
+        &mut self,
+        view: &mut View<'_>,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(age) = self.limit.stall_age() else { return };
+        let old = self.running.iter().filter(|&&id| {
+            let phase = self.entries[id].phase;
+            matches!(phase, Phase::Running { since, .. }
+                if now.since(since) > age)
+        });
+        let (old, running) = (old.count(), self.running.len());
+        if !self.limit.stalled(old, running, now) {
+            return;
+        }
+        let service = &self.local.service;
+        let spec = view.config.and_then(|c| c.services.get(service));
+        let Some(spec) = spec else { return };
+        for id in self.running.split_off(1) {
+            let entry = &mut self.entries[id];
+            if !entry.head.idempotent {
+                self.running.push(id);
+                continue;
+            }
+            entry.ran = true;
+            entry.phase = Phase::Waiting { due: now };
+            let ticket = entry.head.ticket;
+            out.push(Effect::AbortUpstream { ticket });
+            self.enqueue(id, spec, now, out);
+        }
+    }
+
+    /// Empties the queue of an upstream that crashed: owners that are up
+    /// again elsewhere, or the ingress, decide what happens next.
+    pub(super) fn empty_queue(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        while let Some((_, id)) = self.queue.pop() {
+            self.entries[id].phase = Phase::Waiting { due: now };
+            let detail = "the upstream is down";
+            let refusal = Refusal::new(Reason::ConnectFailed, detail);
+            self.wait_or_refuse(id, refusal, now, out);
+        }
     }
 
     /// Ends a request that is not wanted any more, wherever it is.
@@ -701,6 +811,7 @@
         id: usize,
         reason: Reason,
         detail: &str,
+        now: Millis,
         out: &mut Vec<Effect>,
     ) {
         let entry = &mut self.entries[id];
@@ -709,6 +820,7 @@
             Phase::Running { .. } => {
                 entry.ran = true;
                 out.push(Effect::AbortUpstream { ticket });
+                self.leave_upstream(id, Some(Sample::Cancelled), now);
             }
             Phase::Forwarded { attempt } => {
                 entry.ran = true;
@@ -717,7 +829,7 @@
             }
             Phase::Waiting { .. } | Phase::Queued => {}
         }
-        let ran = entry.ran;
+        let ran = self.entries[id].ran;
         let reason = match reason {
             Reason::DeadlineBefore if ran => Reason::DeadlineAfter,
             other => other,
@@ -764,7 +876,9 @@
                 self.waiting.remove(&(due, id));
             }
             Phase::Queued => {
-                self.queue.remove(&(entry.deadline, id));
+                let partner = entry.head.partner.as_deref();
+                let item = (entry.deadline, id);
+                self.queue.remove(partner.unwrap_or_default(), item);
             }
             Phase::Running { .. } => {
                 self.running.retain(|&other| other != id);
@@ -777,12 +891,25 @@
 
 const DEADLINE: &str = "the deadline passed";
 
-fn overloaded(detail: &str) -> Refusal {
+/// A refusal for load; `wait` is the expected wait in milliseconds.
+fn overloaded(detail: &str, wait: u64) -> Refusal {
     let mut refusal = Refusal::new(Reason::Overloaded, detail);
-    refusal.retry_after = Some(RETRY_AFTER);
+    let after = wait.clamp(RETRY_AFTER.into(), RETRY_AFTER_MAX.into());
+    refusal.retry_after = Some(after as u32);
     refusal
 }
 
+/// What an outcome says of the upstream's load, if anything.
+fn sample(outcome: &Outcome) -> Option<Sample> {
+    match outcome {
+        Outcome::Answered { status: 429 | 503, .. } => Some(Sample::Shed),
+        Outcome::Answered { status: 500.., .. } => Some(Sample::Failed),
+        Outcome::Answered { .. } => Some(Sample::Answered),
+        Outcome::Failed(refusal) if refusal.reason == Reason::Fenced => None,
+        Outcome::Failed(_) => Some(Sample::Failed),
+    }
+}
+
 fn why(reason: Reason) -> &'static str {
     match reason {
         Reason::Moving => "the key's shard is moving to another node",
--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,169 @@
+//! The concurrency limit and the queue of one upstream.
+
+use lagoondyke_core::clock::Millis;
+use lagoondyke_core::request::admit::{Limit, Sample};
+use lagoondyke_core::request::share::Queue;
+
+const SLOTS: u16 = 12;
+
+/// Runs rounds of as many requests as allowed for `span` milliseconds;
+/// `latency` gives the latency of a round by the limit.
+fn drive(
+    limit: &mut Limit,
+    now: &mut u64,
+    span: u64,
+    latency: impl Fn(usize) -> u64,
+) {
+    let end = *now + span;
+    while *now < end {
+        let running = limit.value();
+        limit.used_in_full();
+        let since = Millis(*now);
+        *now += latency(running);
+        for _ in 0..running {
+            limit.ended(since, Sample::Answered, Millis(*now));
+        }
+    }
+}
+
+fn warm() -> (Limit, u64) {
+    let mut limit = Limit::new(SLOTS, Millis(0));
+    let mut now = 0;
+    drive(&mut limit, &mut now, 3_000, |_| 5);
+    assert_eq!(limit.value(), usize::from(SLOTS));
+    assert!(!limit.is_cold());
+    (limit, now)
+}
+
+#[test]
+fn the_limit_grows_slowly_from_1_and_stops_at_the_slots() {
+    let mut limit = Limit::new(SLOTS, Millis(0));
+    let mut now = 0;
+    for second in 0..3_u64 {
+        let least = (second * 9).clamp(1, 12);
+        assert!(limit.value() as u64 >= least, "{second} s: {limit:?}");
+        drive(&mut limit, &mut now, 1_000, |_| 5);
+        let most = (second + 1) * 10 + 1;
+        assert!(limit.value() as u64 <= most.min(12), "{limit:?}");
+    }
+}
+
+/// A light load shows nothing of how much more the upstream can handle.
+#[test]
+fn a_limit_that_is_not_used_does_not_grow() {
+    let mut limit = Limit::new(SLOTS, Millis(0));
+    for ms in (0..5_000).step_by(10) {
+        limit.ended(Millis(ms), Sample::Answered, Millis(ms + 5));
+    }
+    assert_eq!(limit.value(), 1);
+}
+
+/// An upstream that handles 4 requests at once is not driven far beyond.
+#[test]
+fn growth_ends_where_latency_jumps() {
+    let mut limit = Limit::new(SLOTS, Millis(0));
+    let mut now = 0;
+    for _ in 0..100 {
+        drive(&mut limit, &mut now, 100, |n| {
+            if n <= 4 { 5 } else { 5 * (n * n / 4) as u64 }
+        });
+        assert!(limit.value() <= 6, "{limit:?}");
+    }
+    assert!(limit.value() >= 3);
+}
+
+/// Cutting the limit of a slow but not overloaded upstream only loses
+/// throughput.
+#[test]
+fn slowness_that_a_cut_does_not_cure_is_accepted() {
+    let (mut limit, mut now) = warm();
+    drive(&mut limit, &mut now, 3_000, |_| 15);
+    assert_eq!(limit.value(), usize::from(SLOTS));
+}
+
+#[test]
+fn an_upstream_that_turned_cold_unannounced_is_noticed() {
+    let (mut limit, mut now) = warm();
+    drive(&mut limit, &mut now, 150, |_| 40);
+    assert!(limit.is_cold());
+    assert!(limit.value() <= 2, "{limit:?}");
+
+    let (mut limit, now) = warm();
+    let age = limit.stall_age().unwrap();
+    assert!((20..50).contains(&age), "{age}");
+    assert!(!limit.stalled(2, 12, Millis(now)), "two are not enough");
+    assert!(!limit.stalled(5, 12, Millis(now)), "not the half");
+    assert!(limit.stalled(6, 12, Millis(now)));
+    assert_eq!((limit.value(), limit.stall_age()), (1, None));
+}
+
+#[test]
+fn errors_cut_the_limit_and_a_crash_sets_it_to_1() {
+    let (mut limit, now) = warm();
+    limit.ended(Millis(now), Sample::Shed, Millis(now));
+    assert_eq!(limit.value(), 8);
+    limit.ended(Millis(now - 1), Sample::Shed, Millis(now));
+    assert_eq!(limit.value(), 8, "dispatched before the cut");
+    for i in 0..30 {
+        let sample =
+            if i % 5 == 0 { Sample::Failed } else { Sample::Answered };
+        limit.ended(Millis(now + 25 + i), sample, Millis(now + 30 + i));
+    }
+    assert!(limit.value() < 8, "{limit:?}");
+    limit.crashed(Millis(now + 100));
+    assert_eq!(limit.value(), 1);
+    assert!(limit.is_cold());
+}
+
+#[test]
+fn partners_are_served_by_weight_and_not_by_demand() {
+    let mut queue = Queue::new();
+    let mut served = [0; 3];
+    let mut next = 0;
+    for _ in 0..600 {
+        // The partner of least weight asks for most.
+        for (partner, weight, most) in [(0, 3, 8), (1, 2, 8), (2, 1, 24)] {
+            let name = ["a", "b", "c"][partner];
+            while queue.ahead(name, weight, Millis(u64::MAX)) < most {
+                queue.push(name, weight, (Millis(0), next * 3 + partner));
+                next += 1;
+            }
+        }
+        let (_, id) = queue.pop().unwrap();
+        served[id % 3] += 1;
+    }
+    assert_eq!(served, [300, 200, 100]);
+}
+
+#[test]
+fn a_full_queue_gives_way_to_partners_below_their_share() {
+    let mut queue = Queue::new();
+    for id in 0..10 {
+        queue.push("heavy", 1, (Millis(id as u64), id));
+    }
+    queue.push("light", 1, (Millis(5), 20));
+    assert_eq!(queue.evict_for("light", 1), Some((Millis(9), 9)));
+    assert_eq!(queue.evict_for("heavy", 1), None);
+    assert_eq!(queue.len(), 10);
+    assert!(queue.remove("light", (Millis(5), 20)));
+    assert!(!queue.remove("light", (Millis(5), 20)));
+    assert_eq!(queue.len(), 9);
+}
+
+/// Idle time earns no credit: it would let a partner starve the others.
+#[test]
+fn a_returning_partner_does_not_catch_up() {
+    let mut queue = Queue::new();
+    for id in 0..100 {
+        queue.push("a", 1, (Millis(0), id));
+    }
+    for _ in 0..50 {
+        queue.pop();
+    }
+    for id in 200..300 {
+        queue.push("b", 1, (Millis(0), id));
+    }
+    let ids: Vec<usize> =
+        (0..20).filter_map(|_| queue.pop()).map(|i| i.1).collect();
+    assert_eq!(ids.iter().filter(|&&id| id >= 200).count(), 10);
+}
--- a/crates/core/tests/requests/dedupe.rs
+++ b/crates/core/tests/requests/dedupe.rs
@@ -87,7 +87,7 @@
 
 #[test]
 fn scopes_and_keys_that_do_not_fit_are_refused() {
-    let mut bed = Bed::owner();
+    let mut bed = Bed::warm();
     bed.arrive(payment(1, "a", Some("7.0")));
     let other = Fingerprint(2);
     let other = Arrival { fingerprint: other, ..payment(2, "a", Some("7.0")) };
--- a/crates/core/tests/requests/flow.rs
+++ b/crates/core/tests/requests/flow.rs
@@ -179,11 +179,11 @@
     let gone = ["abort 2/0", "refuse 2 cancelled MayHaveRun"];
     assert_eq!(brief(&bed.cancel(2)), gone);
 
-    let mut bed = Bed::owner();
+    let mut bed = Bed::warm();
     bed.arrive(Arrival { budget: 50, ..get(1) });
     bed.arrive(get(2));
     let late = ["abort 1", "refuse 1 deadline-after MayHaveRun"];
-    assert_eq!(brief(&bed.tick_at(50)), late);
+    assert_eq!(brief(&bed.tick_after(50)), late);
     let gone = ["abort 2", "refuse 2 cancelled MayHaveRun"];
     assert_eq!(brief(&bed.cancel(2)), gone);
     assert!(bed.requests.is_empty());
@@ -192,7 +192,7 @@
 #[test]
 fn a_lapsed_lease_cancels_work_in_flight() {
     for reason in [Reason::NoOwner, Reason::NotOwner] {
-        let mut bed = Bed::owner();
+        let mut bed = Bed::warm();
         bed.arrive(post(1));
         bed.arrive(from_peer(get(2)));
         bed.group.grant = Err(reason);
@@ -202,7 +202,7 @@
             "abort 2",
             "refuse 2 lease-lost MayHaveRun",
         ];
-        assert_eq!(brief(&bed.tick_at(25)), expected);
+        assert_eq!(brief(&bed.tick_after(25)), expected);
     }
 }
 
@@ -242,7 +242,7 @@
 
 #[test]
 fn queued_work_is_checked_again_before_dispatch() {
-    let mut bed = Bed::owner();
+    let mut bed = Bed::warm();
     for ticket in 0..u64::from(SLOTS) {
         bed.arrive(get(ticket));
     }
@@ -254,17 +254,17 @@
 
 #[test]
 fn the_queue_is_short_and_ordered_by_deadline() {
-    let mut bed = Bed::owner();
+    let mut bed = Bed::warm();
     for ticket in 0..u64::from(SLOTS) {
         assert_eq!(bed.arrive(get(ticket)).len(), 1);
     }
-    for ticket in 10..10 + 2 * u64::from(SLOTS) {
+    for ticket in 10..10 + 4 * u64::from(SLOTS) {
         let budget = 10_000 - ticket;
         assert!(bed.arrive(Arrival { budget, ..get(ticket) }).is_empty());
     }
     let out = bed.arrive(get(30));
     assert_eq!(brief(&out), ["refuse 30 overloaded NotRun"]);
-    let expected = ["answer 0/0", "dispatch 17 shard 3"];
+    let expected = ["answer 0/0", "dispatch 25 shard 3"];
     assert_eq!(brief(&bed.upstream(0, answered())), expected);
 }
 
@@ -297,3 +297,81 @@
     bed.with(|r, _, now, out| r.upstream_up(now, out));
     assert_eq!(brief(&bed.tick_at(25)), ["dispatch 1 shard 3"]);
 }
+
+/// A collapsed upstream does not recover under the load that it has.
+#[test]
+fn a_stalled_upstream_gets_its_idempotent_work_taken_back() {
+    let mut bed = Bed::warm();
+    bed.arrive(get(0));
+    bed.arrive(post(1));
+    bed.arrive(get(2));
+    bed.arrive(from_peer(get(3)));
+    assert!(bed.tick_after(50).is_empty(), "five times the usual 10 ms");
+    assert_eq!(brief(&bed.tick_after(25)), ["abort 2", "abort 3"]);
+    assert_eq!(bed.limit(), 1);
+    assert_eq!(brief(&bed.upstream(0, answered())), ["answer 0/0"]);
+    let expected = ["answer 1/0", "dispatch 2 shard 3"];
+    assert_eq!(brief(&bed.upstream(1, answered())), expected);
+    let out = bed.cancel(3);
+    assert_eq!(brief(&out), ["refuse 3 cancelled MayHaveRun"]);
+}
+
+#[test]
+fn a_request_that_cannot_meet_its_deadline_is_shed_at_once() {
+    let mut bed = Bed::warm();
+    // Answers take 10 ms, 4 requests run at a time, and 7 wait.
+    for ticket in 0..11 {
+        bed.arrive(Arrival { budget: 24, ..get(ticket) });
+    }
+    let out = bed.arrive(Arrival { budget: 24, ..get(90) });
+    assert_eq!(brief(&out), ["refuse 90 overloaded NotRun"]);
+    assert!(bed.arrive(Arrival { budget: 40, ..get(91) }).is_empty());
+}
+
+#[test]
+fn queued_work_that_became_hopeless_is_not_dispatched() {
+    let mut bed = Bed::warm();
+    for ticket in 0..u64::from(SLOTS) {
+        bed.arrive(get(ticket));
+    }
+    bed.arrive(Arrival { budget: 30, ..get(10) });
+    bed.now += 28;
+    let expected = ["answer 0/0", "refuse 10 deadline-before NotRun"];
+    assert_eq!(brief(&bed.upstream(0, answered())), expected);
+}
+
+#[test]
+fn a_heavy_partner_gives_way_in_a_full_queue() {
+    let partner = |name: &str, ticket| Arrival {
+        partner: Some(name.into()),
+        ..get(ticket)
+    };
+    let mut bed = Bed::warm();
+    for ticket in 0..u64::from(5 * SLOTS) {
+        bed.arrive(partner("heavy", ticket));
+    }
+    let out = bed.arrive(partner("light", 90));
+    assert_eq!(brief(&out), ["refuse 19 overloaded NotRun"]);
+    let out = bed.arrive(partner("heavy", 91));
+    assert_eq!(brief(&out), ["refuse 91 overloaded NotRun"]);
+}
+
+#[test]
+fn a_crash_empties_the_queue_and_begins_cold() {
+    let mut bed = Bed::warm();
+    for ticket in 0..u64::from(SLOTS) {
+        bed.arrive(get(ticket));
+    }
+    bed.arrive(from_peer(get(10)));
+    bed.arrive(get(11));
+    let out = bed.with(|r, _, now, out| r.upstream_down(now, out));
+    assert_eq!(brief(&out[..1]), ["refuse 10 connect-failed NotRun"]);
+    for ticket in 0..u64::from(SLOTS) {
+        bed.cancel(ticket);
+    }
+    bed.with(|r, _, now, out| r.upstream_up(now, out));
+    bed.arrive(get(12));
+    assert_eq!(bed.limit(), 1);
+    assert!(bed.tick_after(25).is_empty(), "12 takes the only place");
+    assert_eq!(bed.requests.len(), 2);
+}
--- a/crates/core/tests/requests/support.rs
+++ b/crates/core/tests/requests/support.rs
@@ -172,6 +172,31 @@
         bed
     }
 
+    /// An owner whose upstream has been in use up to its slots. Answers
+    /// took 10 ms.
+    pub fn warm() -> Self {
+        let mut bed = Self::owner();
+        let mut ticket = 1_000_000;
+        let mut rounds = 0;
+        while bed.limit() < SLOTS || rounds < 100 {
+            rounds += 1;
+            let tickets = ticket..ticket + u64::from(bed.limit());
+            ticket = tickets.end;
+            for t in tickets.clone() {
+                assert_eq!(bed.arrive(get(t)).len(), 1);
+            }
+            bed.now += 10;
+            for t in tickets {
+                bed.upstream(t, answered());
+            }
+        }
+        bed
+    }
+
+    pub fn limit(&self) -> u16 {
+        self.requests.load(Millis(self.now)).limit
+    }
+
     /// A node that knows node 1 as the owner of every key.
     pub fn ingress() -> Self {
         let mut bed = Self::new();
@@ -213,6 +238,10 @@
         self.with(|r, view, now, out| r.cancelled(Ticket(of), view, now, out))
     }
 
+    pub fn tick_after(&mut self, span: u64) -> Vec<Effect> {
+        self.tick_at(self.now + span)
+    }
+
     pub fn tick_at(&mut self, now: u64) -> Vec<Effect> {
         self.now = now;
         self.with(Requests::tick)
