--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -23,6 +23,7 @@
 use crate::verdict::Reason;
 
 pub mod admit;
+pub mod choose;
 pub mod dedupe;
 mod flow;
 pub mod retry;
