Run the quickstart on free ports and keep its records on request

A first trial took the store of another program on port 7000 for its own. Process::start now refuses an address that accepts connections already.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -1,10 +1,11 @@
 //! A store, upstreams and nodes as processes on loopback.
 
 use std::collections::BTreeMap;
+use std::fmt::Write as _;
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -25,7 +26,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::check::Record;
-use crate::load::key_name;
+use crate::load::{Sample, key_name};
 
 /// Bound of a program's start.
 const START: Duration = Duration::from_secs(10);
@@ -174,6 +175,16 @@
     }
 }
 
+/// Directories that experiments use.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Directory of the programs.
+    pub bin: PathBuf,
+    /// Directory in which settings and records are kept; if absent, they
+    /// are removed at the end.
+    pub keep: Option<PathBuf>,
+}
+
 /// One node and its upstream.
 #[derive(Debug)]
 pub struct Member {
@@ -199,6 +210,7 @@
     plan: Plan,
     bin: PathBuf,
     dir: PathBuf,
+    keep: bool,
     // Declared last, so that nodes end before the store does.
     _store: Process,
 }
@@ -206,23 +218,25 @@
 impl Drop for Cluster {
     fn drop(&mut self) {
         self.members.clear();
-        let _ = fs::remove_dir_all(&self.dir);
+        if !self.keep {
+            let _ = fs::remove_dir_all(&self.dir);
+        }
     }
 }
 
 impl Cluster {
-    /// Starts a cluster of `plan` with the programs in `bin` on free ports
+    /// Starts a cluster of `plan` with the programs at `place` on free ports
     /// and waits until it serves.
     ///
     /// # Errors
     ///
     /// Returns an error if a program cannot be started or the cluster does
     /// not serve in time.
-    pub fn start(plan: Plan, bin: &Path) -> io::Result<Self> {
+    pub fn start(plan: Plan, place: &Place) -> io::Result<Self> {
         let store = free_addr()?;
         let settings = plan.settings(store)?;
         let config = plan.config();
-        Self::start_with(plan, bin, store, settings, config)
+        Self::start_with(plan, place, store, settings, config)
     }
 
     /// Starts a cluster with given settings and configuration.
@@ -233,7 +247,7 @@
     /// not serve in time.
     pub fn start_with(
         plan: Plan,
-        bin: &Path,
+        place: &Place,
         store: SocketAddr,
         settings: Vec<Settings>,
         config: Config,
@@ -243,18 +257,20 @@
             std::process::id(),
             monotonic_ms()
         );
-        let dir = std::env::temp_dir().join(name);
+        let base = place.keep.clone().unwrap_or_else(std::env::temp_dir);
+        let dir = base.join(name);
         fs::create_dir_all(&dir)?;
         let args = ["--listen".to_owned(), store.to_string()];
-        let path = bin.join("standin-store");
+        let path = place.bin.join("standin-store");
         let process = Process::start(&path, args, store, START)?;
         let mut cluster = Self {
             config,
             members: Vec::new(),
             store,
             plan,
-            bin: bin.to_owned(),
+            bin: place.bin.clone(),
             dir,
+            keep: place.keep.is_some(),
             _store: process,
         };
         cluster.apply()?;
@@ -589,6 +605,22 @@
         Ok(records)
     }
 
+    /// Writes what callers were told beside the records, if they are kept.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file cannot be written.
+    pub fn keep_samples(&self, samples: &[Sample]) -> io::Result<()> {
+        if !self.keep {
+            return Ok(());
+        }
+        let mut text = String::new();
+        for sample in samples {
+            let _ = writeln!(text, "{sample:?}");
+        }
+        fs::write(self.dir.join("samples"), text)
+    }
+
     /// Addresses of the nodes for callers.
     #[must_use]
     pub fn nodes(&self) -> Vec<SocketAddr> {
--- a/crates/bench/src/experiments.rs
+++ b/crates/bench/src/experiments.rs
@@ -7,13 +7,13 @@
 mod strain;
 
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::Duration;
 
 use lagoondyke_standin::time::monotonic_ms;
 
 use crate::check::{Faults, Record, faults};
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, Place};
 use crate::load::{Load, Pick, Sample, Told, count, latency, reasons};
 use crate::report::{Bound, Report};
 
@@ -30,8 +30,8 @@
 /// What all experiments are given.
 #[derive(Clone, Debug)]
 pub struct Context {
-    /// Directory of the programs.
-    pub bin: PathBuf,
+    /// Directories of programs and records.
+    pub place: Place,
     /// Directory of the example settings.
     pub examples: PathBuf,
     /// Seed of random choices.
@@ -56,11 +56,6 @@
             ..Load::default()
         }
     }
-
-    /// The directory of the programs.
-    fn bin(&self) -> &Path {
-        &self.bin
-    }
 }
 
 /// An experiment.
--- a/crates/bench/src/experiments/basic.rs
+++ b/crates/bench/src/experiments/basic.rs
@@ -37,7 +37,7 @@
         keys: (0..2_000).collect(),
         ..context.load(&plan, 0.5)
     };
-    let cluster = Cluster::start(plan, context.bin())?;
+    let cluster = Cluster::start(plan, &context.place)?;
     let load = Load { targets: cluster.nodes(), ..load };
     let before = cluster.counts()?;
     let samples = load.run()?;
@@ -86,7 +86,7 @@
 pub fn zone_out(context: &Context) -> io::Result<Report> {
     let plan = Plan::vendor_portal();
     let load = Load { span: 16_000, ..context.load(&plan, 0.4) };
-    let mut cluster = Cluster::start(plan, context.bin())?;
+    let mut cluster = Cluster::start(plan, &context.place)?;
     let load = Load { targets: cluster.nodes(), ..load };
     let domain = "kalamaria";
     let start = monotonic_ms();
@@ -98,6 +98,7 @@
     wait_until(start, 9_000);
     let back = cluster.set_out(domain, false)?;
     let samples = running.join()?;
+    cluster.keep_samples(&samples)?;
     let records = cluster.records()?;
     let leaving: Vec<_> =
         cluster.in_domain(domain).iter().map(|&i| &records[i]).collect();
--- a/crates/bench/src/experiments/cost.rs
+++ b/crates/bench/src/experiments/cost.rs
@@ -41,7 +41,7 @@
         seed: context.seed,
         ..Load::default()
     };
-    let cluster = Cluster::start(plan, context.bin())?;
+    let cluster = Cluster::start(plan, &context.place)?;
     let (near, far) = owners(&cluster, &load)?;
     let node = cluster.members[0].settings.listen;
     let upstream = cluster.members[0].settings.upstream.addr;
--- a/crates/bench/src/experiments/loss.rs
+++ b/crates/bench/src/experiments/loss.rs
@@ -52,7 +52,7 @@
 ) -> io::Result<()> {
     let plan = Plan::vendor_portal();
     let load = Load { span: 10_000, ..context.load(&plan, 0.4) };
-    let mut cluster = Cluster::start(plan, context.bin())?;
+    let mut cluster = Cluster::start(plan, &context.place)?;
     let load = Load { targets: cluster.nodes(), ..load };
     let leader = cluster.leader()?;
     let other = (leader + 1) % cluster.members.len();
@@ -74,6 +74,7 @@
         Loss::FrozenLeader => freeze(&mut cluster, leader, start)?,
     }
     let samples = running.join()?;
+    cluster.keep_samples(&samples)?;
     let records = cluster.records()?;
     let found = faults(&records, &samples, &load.tag, true);
     let most = Bound::Most(0.0);
@@ -109,7 +110,7 @@
 pub fn store_outage(context: &Context) -> io::Result<Report> {
     let plan = Plan::vendor_portal();
     let load = Load { span: 12_000, ..context.load(&plan, 0.4) };
-    let mut cluster = Cluster::start(plan, context.bin())?;
+    let mut cluster = Cluster::start(plan, &context.place)?;
     let load = Load { targets: cluster.nodes(), ..load };
     let start = monotonic_ms();
     let running = load.start();
@@ -118,6 +119,7 @@
     wait_until(start, 10_000);
     cluster.faults(r#"{"down": false}"#)?;
     let samples = running.join()?;
+    cluster.keep_samples(&samples)?;
     let service = cluster.config.services.get_mut("vendor-portal");
     if let Some(service) = service {
         service.partners.insert("settlement".to_owned(), 2);
@@ -154,7 +156,7 @@
     let extra = vec!["--crash-on=MARK".to_owned()];
     let plan = Plan { extra, ..Plan::vendor_portal() };
     let load = Load { span: 16_000, ..context.load(&plan, 0.1) };
-    let mut cluster = Cluster::start(plan, context.bin())?;
+    let mut cluster = Cluster::start(plan, &context.place)?;
     let load = Load { targets: cluster.nodes(), ..load };
     let running = load.start();
     let start = monotonic_ms();
@@ -176,6 +178,7 @@
         crashes += restart_crashed(&mut cluster)?;
     }
     let samples = running.join()?;
+    cluster.keep_samples(&samples)?;
     let records = cluster.records()?;
     let mut report = Report::new("poison", context.seed);
     add_truth(&mut report, &records, &samples, &load.tag, true);
--- a/crates/bench/src/experiments/quickstart.rs
+++ b/crates/bench/src/experiments/quickstart.rs
@@ -4,7 +4,9 @@
 use std::io;
 
 use lagoondyke_core::config::Config;
+use lagoondyke_core::id::NodeAddr;
 use lagoondyke_core::settings::Settings;
+use lagoondyke_standin::process::free_addr;
 use lagoondyke_standin::time::monotonic_ms;
 
 use super::{Context, DOMAIN_OUT, SERVED_AGAIN, add_truth, wait_until};
@@ -51,6 +53,7 @@
     wait_until(start, OUT);
     let out = cluster.set_out(&domain, true)?;
     let samples = running.join()?;
+    cluster.keep_samples(&samples)?;
     let records = cluster.records()?;
     let leaving: Vec<_> =
         cluster.in_domain(&domain).iter().map(|&i| &records[i]).collect();
@@ -64,7 +67,8 @@
     Ok(report)
 }
 
-/// Starts the nodes of the example settings, with an upstream each.
+/// Starts the nodes of the example settings on free ports, with an upstream
+/// each.
 fn start(context: &Context) -> io::Result<Cluster> {
     let plan = Plan {
         domains: vec!["kalamaria", "kalamaria", "ladadika", "ladadika"],
@@ -73,19 +77,25 @@
     };
     let file = context.examples.join("thessaloniki.jsonc");
     if !file.exists() {
-        return Cluster::start(plan, context.bin());
+        return Cluster::start(plan, &context.place);
     }
     let bad = |e: &dyn std::fmt::Display| io::Error::other(e.to_string());
     let config = Config::parse(fs::read(file)?, None).map_err(|e| bad(&e))?;
-    let mut all = Vec::new();
+    let (mut all, store) = (Vec::new(), free_addr()?);
     for name in ["kalamaria-1", "kalamaria-2", "ladadika-1", "ladadika-2"] {
         let file = context.examples.join(format!("node-{name}.jsonc"));
-        all.push(Settings::parse(fs::read(file)?).map_err(|e| bad(&e))?);
+        let mut one = Settings::parse(fs::read(file)?).map_err(|e| bad(&e))?;
+        // The ports of the examples may be in use for a trial by hand.
+        one.addr = NodeAddr(free_addr()?);
+        one.listen = free_addr()?;
+        one.upstream.addr = free_addr()?;
+        one.store = store;
+        all.push(one);
     }
     let fenced =
         config.services.get("vendor-portal").is_some_and(|s| s.fenced);
     let plan = Plan { fenced, ..plan };
-    Cluster::start_with(plan, context.bin(), all[0].store, all, config)
+    Cluster::start_with(plan, &context.place, store, all, config)
 }
 
 fn fill(
@@ -101,6 +111,11 @@
 }
 
 fn add_domain_out(report: &mut Report, leaving: &[&Record], out: u64) {
+    // Without work before, the next figure would say nothing.
+    let before = leaving.iter().flat_map(|r| &r.runs);
+    let before = before.filter(|r| r.start + 1_000 > out && r.start < out);
+    let (before, bound) = (before.count() as f64, Bound::Least(1.0));
+    report.bound("domain out: runs in the second before", before, "", bound);
     let last = last_start(leaving.iter().copied(), out, u64::MAX);
     let bound = Bound::Most(DOMAIN_OUT);
     report.bound(
--- a/crates/bench/src/experiments/strain.rs
+++ b/crates/bench/src/experiments/strain.rs
@@ -30,7 +30,7 @@
 pub fn straggler(context: &Context) -> io::Result<Report> {
     let plan = Plan::udlaan();
     let load = Load { span: context.span(10_000), ..context.load(&plan, 0.3) };
-    let cluster = Cluster::start(plan, context.bin())?;
+    let cluster = Cluster::start(plan, &context.place)?;
     let load = Load { targets: cluster.nodes(), ..load };
     let slow = format!(r#"{{"ms": {}, "factor": 10}}"#, load.span / 2);
     let disturb =
@@ -51,7 +51,7 @@
     let extra = ["--cold-ms=3000", "--cold-slots=1"].map(str::to_owned);
     let plan = Plan { extra: extra.to_vec(), ..Plan::depot_ledger() };
     let load = Load { span: 12_000, ..context.load(&plan, 0.5) };
-    let cluster = Cluster::start(plan, context.bin())?;
+    let cluster = Cluster::start(plan, &context.place)?;
     // The first cold phase belongs to the start of the processes.
     std::thread::sleep(std::time::Duration::from_secs(4));
     let load = Load { targets: cluster.nodes(), ..load };
@@ -107,7 +107,7 @@
         deadline: 500,
         ..context.load(&plan, 2.0)
     };
-    let cluster = Cluster::start(plan, context.bin())?;
+    let cluster = Cluster::start(plan, &context.place)?;
     let load = Load { targets: cluster.nodes(), ..load };
     let samples = load.run()?;
     let base = direct(&cluster, &load, Pick::Random);
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use lagoondyke_bench::cluster::Place;
 use lagoondyke_bench::experiments::{ALL, Context};
 use lagoondyke_bench::load::{Load, Pick, Told, count, latency, reasons};
 use lagoondyke_bench::report::Report;
@@ -88,6 +89,9 @@
     /// Directory of the programs; that of this program if absent
     #[bpaf(argument("DIR"))]
     bin: Option<PathBuf>,
+    /// Directory in which settings, records and samples are kept
+    #[bpaf(argument("DIR"))]
+    keep: Option<PathBuf>,
     /// Directory of the example settings
     #[bpaf(argument("DIR"), fallback(PathBuf::from("examples")))]
     examples: PathBuf,
@@ -156,7 +160,7 @@
     let own = std::env::current_exe()?;
     let beside = own.parent().map(PathBuf::from).unwrap_or_default();
     let context = Context {
-        bin: a.bin.unwrap_or(beside),
+        place: Place { bin: a.bin.unwrap_or(beside), keep: a.keep },
         examples: a.examples,
         seed,
         hurry: a.hurry,
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -25,14 +25,20 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the program cannot be started, ends early or
-    /// does not accept connections within `limit`.
+    /// Returns an error if another program listens on `addr` already, or if
+    /// the program cannot be started, ends early or does not accept
+    /// connections within `limit`.
     pub fn start<S: AsRef<OsStr>>(
         path: &Path,
         args: impl IntoIterator<Item = S>,
         addr: SocketAddr,
         limit: Duration,
     ) -> io::Result<Self> {
+        // Otherwise the other program would be taken for this one.
+        if TcpStream::connect_timeout(&addr, limit).is_ok() {
+            let text = format!("{}: {addr} is in use", path.display());
+            return Err(io::Error::new(io::ErrorKind::AddrInUse, text));
+        }
         let mut command = Command::new(path);
         command.args(args).stdin(Stdio::null()).stdout(Stdio::null());
         if std::env::var_os("LAGOONDYKE_OUTPUT").is_none() {
