--- /dev/null
+++ b/crates/node/tests/contract/common.rs
@@ -0,0 +1,96 @@
+//! A runtime, requests and scripted servers for the contract tests.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::thread::JoinHandle;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use lagoondyke_core::clock::Millis;
+use lagoondyke_core::id::Fingerprint;
+use lagoondyke_node::clock;
+use lagoondyke_node::message::Call;
+use monoio::{LegacyDriver, RuntimeBuilder};
+
+/// Runs a future on a runtime like that of the node.
+pub fn run<T>(future: impl Future<Output = T>) -> T {
+    let builder = RuntimeBuilder::<LegacyDriver>::new().enable_timer();
+    builder.build().expect("runtime").block_on(future)
+}
+
+/// A request with this method, path and body.
+pub fn call(method: Method, path: &str, body: &'static [u8]) -> Rc<Call> {
+    Rc::new(Call {
+        service: "s".to_owned(),
+        key: None,
+        budget: 5_000,
+        idempotent: false,
+        token: None,
+        scope: None,
+        partner: None,
+        fingerprint: Fingerprint(1),
+        method,
+        path: path.to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(body),
+        trace: None,
+    })
+}
+
+/// A deadline that no test reaches.
+pub fn later() -> Millis {
+    clock::now().plus(60_000)
+}
+
+/// A server that runs `script` on its listener in a thread.
+pub fn server<T: Send + 'static>(
+    script: impl FnOnce(TcpListener) -> T + Send + 'static,
+) -> (SocketAddr, JoinHandle<T>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let addr = listener.local_addr().expect("address");
+    (addr, std::thread::spawn(move || script(listener)))
+}
+
+/// An address that refuses connections.
+pub fn closed() -> SocketAddr {
+    let (addr, thread) = server(drop);
+    thread.join().expect("server");
+    addr
+}
+
+/// Accepts a connection that sends something; probes send nothing.
+pub fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        let (stream, _) = listener.accept().expect("accept");
+        if stream.peek(&mut [0]).expect("peek") > 0 {
+            return stream;
+        }
+    }
+}
+
+/// Reads one HTTP message whose body has the announced length.
+pub fn read_http(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes).to_lowercase();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.split("content-length: ").nth(1);
+            let length = length.and_then(|rest| rest.lines().next());
+            let size = length.map_or(0, |size| size.parse().expect("size"));
+            if body.len() >= size {
+                return text;
+            }
+        }
+        let mut part = [0; 4096];
+        match stream.read(&mut part) {
+            Ok(0) | Err(_) => return text,
+            Ok(size) => bytes.extend_from_slice(&part[..size]),
+        }
+    }
+}
+
+/// Writes a text.
+pub fn send(stream: &mut TcpStream, text: &str) {
+    stream.write_all(text.as_bytes()).expect("write");
+}
--- /dev/null
+++ b/crates/node/tests/contract/peer_frames.rs
@@ -0,0 +1,142 @@
+//! Contract of peer frames, against a scripted peer on a real socket.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use crate::common::{call, later, run, server};
+use http::Method;
+use lagoondyke_core::id::NodeAddr;
+use lagoondyke_core::peer::{AnswerFrame, Frame, decode, encode};
+use lagoondyke_core::verdict::{Reason, Verdict};
+use lagoondyke_node::message::Reply;
+use lagoondyke_node::peers::TcpPeers;
+use lagoondyke_node::ports::{Forward, Local, Peers};
+
+type Script = fn(u64) -> Vec<u8>;
+
+fn read_frame(stream: &mut TcpStream) -> Option<(Frame, Vec<u8>)> {
+    let mut size = [0; 4];
+    stream.read_exact(&mut size).ok()?;
+    let mut bytes = vec![0; u32::from_be_bytes(size) as usize];
+    stream.read_exact(&mut bytes).ok()?;
+    let (frame, body) = decode(&bytes).expect("frame");
+    Some((frame, body.to_vec()))
+}
+
+fn request_id(stream: &mut TcpStream) -> u64 {
+    match read_frame(stream) {
+        Some((Frame::Request(request), _)) => request.id,
+        other => panic!("expected a request, got {other:?}"),
+    }
+}
+
+fn answer(id: u64, body: &[u8]) -> Vec<u8> {
+    let (headers, scope, shard) = (Vec::new(), None, None);
+    let frame = AnswerFrame { id, status: 200, headers, scope, shard };
+    encode(&Frame::Answer(frame), body).expect("encode")
+}
+
+fn forward(peers: &TcpPeers, to: std::net::SocketAddr) -> Local<Reply> {
+    let call = call(Method::POST, "/x", b"body");
+    let (to, deadline) = (NodeAddr(to), later());
+    peers.forward(Forward { to, call, deadline, trace: None })
+}
+
+fn refused(reply: Reply) -> (Reason, Verdict) {
+    let refusal = reply.expect_err("a refusal");
+    (refusal.reason, refusal.verdict)
+}
+
+/// Guards against answers given to the wrong request when a peer answers in
+/// another order, or answers a request that nobody asked.
+#[test]
+fn answers_out_of_order_reach_their_requests() {
+    let (addr, peer) = server(|listener| {
+        let (mut stream, _) = listener.accept().expect("accept");
+        let mut ids = Vec::new();
+        for _ in 0..3 {
+            ids.push(request_id(&mut stream));
+        }
+        let mut bytes = answer(999, b"nobody");
+        for (index, id) in ids.iter().enumerate().rev() {
+            bytes.extend(answer(*id, index.to_string().as_bytes()));
+        }
+        stream.write_all(&bytes).expect("write");
+    });
+    let bodies = run(async {
+        let peers = TcpPeers::new();
+        let (a, b, c) = monoio::join!(
+            forward(&peers, addr),
+            forward(&peers, addr),
+            forward(&peers, addr)
+        );
+        [a, b, c].map(|reply| reply.expect("an answer").body)
+    });
+    assert_eq!(bodies, ["0", "1", "2"]);
+    peer.join().expect("peer");
+}
+
+/// Guards against a wrong verdict when the peer or its connection fails.
+#[test]
+fn failures_carry_the_right_verdict() {
+    let lost = (Reason::ConnectionLost, Verdict::MayHaveRun);
+    let table: [(&str, Script, (Reason, Verdict)); 4] = [
+        ("closed", |_| Vec::new(), lost),
+        ("cut answer", |id| answer(id, b"123456")[..12].to_vec(), lost),
+        ("oversized", |_| u32::MAX.to_be_bytes().to_vec(), lost),
+        ("malformed", |_| vec![0, 0, 0, 5, 0, 0, 0, 1, 250], lost),
+    ];
+    for (name, script, expected) in table {
+        let (addr, peer) = server(move |listener| {
+            let (mut stream, _) = listener.accept().expect("accept");
+            let id = request_id(&mut stream);
+            stream.write_all(&script(id)).expect("write");
+        });
+        let reply = run(async { forward(&TcpPeers::new(), addr).await });
+        assert_eq!(refused(reply), expected, "{name}");
+        peer.join().expect("peer");
+    }
+    let addr = crate::common::closed();
+    let reply = run(async { forward(&TcpPeers::new(), addr).await });
+    assert_eq!(refused(reply), (Reason::ConnectFailed, Verdict::NotRun));
+}
+
+/// Guards against a peer that goes on working for a caller that left, and
+/// against a lost connection that is never made again.
+#[test]
+fn a_dropped_request_is_cancelled_and_a_lost_link_is_made_again() {
+    let (addr, peer) = server(|listener| {
+        let (mut stream, _) = listener.accept().expect("accept");
+        let id = request_id(&mut stream);
+        let next = request_id(&mut stream);
+        stream.write_all(&answer(next, b"second")).expect("write");
+        let (frame, _) = read_frame(&mut stream).expect("frame");
+        assert_eq!(frame, Frame::Cancel { id });
+        drop(stream);
+        let (mut stream, _) = listener.accept().expect("accept");
+        let id = request_id(&mut stream);
+        stream.write_all(&answer(id, b"third")).expect("write");
+    });
+    run(async {
+        let peers = TcpPeers::new();
+        let first = forward(&peers, addr);
+        let second = forward(&peers, addr);
+        monoio::select! {
+            biased;
+            _ = first => panic!("the first request has no answer"),
+            reply = second => {
+                assert_eq!(reply.expect("an answer").body, "second");
+            }
+        }
+        loop {
+            // Until the loss is seen, requests fail on the old connection.
+            match forward(&peers, addr).await {
+                Ok(answer) => break assert_eq!(answer.body, "third"),
+                Err(refusal) => {
+                    assert_eq!(refusal.reason, Reason::ConnectionLost);
+                }
+            }
+        }
+    });
+    peer.join().expect("peer");
+}
--- /dev/null
+++ b/crates/node/tests/contract/upstream.rs
@@ -0,0 +1,210 @@
+//! Contract of the upstream adapter, against scripted upstreams.
+
+use std::cell::RefCell;
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::mpsc;
+
+use crate::common::{accept, call, later, read_http, run, send, server};
+use http::Method;
+use lagoondyke_core::event::Event;
+use lagoondyke_core::id::{Epoch, Fence, Shard};
+use lagoondyke_core::settings::UpstreamSettings;
+use lagoondyke_core::verdict::{Reason, Verdict};
+use lagoondyke_node::message::Reply;
+use lagoondyke_node::ports::{Dispatch, Local, Upstream};
+use lagoondyke_node::upstream::HttpUpstream;
+
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+fn upstream(addr: SocketAddr) -> HttpUpstream {
+    let name = "u".to_owned();
+    let (slots, connections) = (4, 10);
+    let settings = UpstreamSettings { name, addr, slots, connections };
+    HttpUpstream::new(&settings, "n".to_owned())
+}
+
+fn dispatch(upstream: &HttpUpstream, fence: Option<u32>) -> Local<Reply> {
+    let fence =
+        fence.map(|sequence| (Shard(7), Fence { epoch: Epoch(3), sequence }));
+    let call = call(Method::POST, "/x?y=1", b"body");
+    let deadline = later();
+    upstream.run(Dispatch { call, fence, deadline, trace: None })
+}
+
+/// Guards against wrong verdicts and against a cut answer that is passed on
+/// as whole.
+#[test]
+fn failures_carry_the_right_verdict() {
+    let cut = (Reason::AnswerCut, Verdict::MayHaveRun);
+    let lost = (Reason::ConnectionLost, Verdict::MayHaveRun);
+    let fence = "HTTP/1.1 412 Precondition Failed\r\ncontent-length: 24\r\n\
+                 \r\n{\"type\":\"urn:x:fenced\"}\n";
+    let table = [
+        ("short body", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n1", cut),
+        ("no length", "HTTP/1.1 200 OK\r\n\r\n123", cut),
+        (
+            "oversized",
+            "HTTP/1.1 200 OK\r\ncontent-length: 1048577\r\n\r\n",
+            cut,
+        ),
+        (
+            "cut chunk",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\n12",
+            cut,
+        ),
+        ("not HTTP", "hello\r\n\r\n", cut),
+        ("cut head", "HTTP/1.1 200 OK\r\n", lost),
+        ("no answer", "", lost),
+        ("fence", fence, (Reason::Fenced, Verdict::NotRun)),
+    ];
+    for (name, text, expected) in table {
+        let (addr, thread) = server(move |listener| {
+            let mut stream = accept(&listener);
+            read_http(&mut stream);
+            send(&mut stream, text);
+        });
+        let reply = run(async move {
+            let upstream = upstream(addr);
+            let fence = (name == "fence").then_some(1);
+            dispatch(&upstream, fence).await
+        });
+        let refusal = reply.expect_err(name);
+        assert_eq!((refusal.reason, refusal.verdict), expected, "{name}");
+        thread.join().expect("server");
+    }
+    let addr = crate::common::closed();
+    let reply = run(async { dispatch(&upstream(addr), None).await });
+    let refusal = reply.expect_err("no upstream");
+    assert_eq!(refusal.reason, Reason::ConnectFailed);
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+}
+
+/// Guards against a new connection for each request, and against a request
+/// that fails since an idle connection was closed.
+#[test]
+fn connections_are_reused_and_closed_ones_replaced() {
+    let (closed, closing) = mpsc::channel();
+    let (addr, thread) = server(move |listener| {
+        let mut heads = Vec::new();
+        for requests in [2, 1] {
+            let mut stream = accept(&listener);
+            for _ in 0..requests {
+                heads.push(read_http(&mut stream));
+                send(&mut stream, OK);
+            }
+            drop(stream);
+            closed.send(()).expect("send");
+        }
+        heads
+    });
+    run(async {
+        let upstream = upstream(addr);
+        for number in 1..=3 {
+            let answer = dispatch(&upstream, Some(9)).await;
+            assert_eq!(answer.expect("an answer").body, "ok");
+            if number == 2 {
+                // The end of the stream is at the socket by then; the sleep
+                // lets the driver see it.
+                closing.recv().expect("closed");
+                let pause = std::time::Duration::from_millis(1);
+                monoio::time::sleep(pause).await;
+            }
+        }
+    });
+    let heads = thread.join().expect("server");
+    for line in [
+        "post /x?y=1 http/1.1",
+        "lagoondyke-fence: 3.9",
+        "lagoondyke-shard: 7",
+        "lagoondyke-deadline: ",
+        "\r\n\r\nbody",
+    ] {
+        assert!(heads[0].contains(line), "{line} in {}", heads[0]);
+    }
+}
+
+/// Guards against an upstream that works on for a caller that left.
+#[test]
+fn a_dropped_request_closes_its_connection() {
+    let (arrived, arrival) = mpsc::channel();
+    let (addr, thread) = server(move |listener| {
+        let mut stream = accept(&listener);
+        read_http(&mut stream);
+        arrived.send(()).expect("send");
+        stream.read(&mut [0]).unwrap_or(0)
+    });
+    run(async {
+        let upstream = upstream(addr);
+        let seen = async {
+            while arrival.try_recv().is_err() {
+                let pause = std::time::Duration::from_millis(1);
+                monoio::time::sleep(pause).await;
+            }
+        };
+        monoio::select! {
+            _ = dispatch(&upstream, None) => panic!("there is no answer"),
+            () = seen => {}
+        }
+    });
+    assert_eq!(thread.join().expect("server"), 0);
+}
+
+/// Guards against a request that overtakes its fencing token.
+#[test]
+fn a_fence_is_installed_before_its_first_use() {
+    let (addr, thread) = server(|listener| {
+        let mut grants = accept(&listener);
+        let mut seen = vec![read_http(&mut grants)];
+        send(&mut grants, "HTTP/1.1 204 No Content\r\n\r\n");
+        let mut stream = accept(&listener);
+        seen.push(read_http(&mut stream));
+        send(&mut stream, OK);
+        seen
+    });
+    run(async {
+        let upstream = upstream(addr);
+        let fence = Fence { epoch: Epoch(3), sequence: 9 };
+        upstream.grant(vec![(Shard(7), fence)], later());
+        dispatch(&upstream, Some(9)).await.expect("an answer");
+    });
+    let seen = thread.join().expect("server");
+    assert!(seen[0].starts_with("put /lagoondyke/grants http/1.1"));
+    assert!(seen[0].contains("\"shards\":[[7,3,9]]}"), "{}", seen[0]);
+    assert!(seen[1].starts_with("post /x"));
+}
+
+fn crash(listener: TcpListener) -> SocketAddr {
+    let addr = listener.local_addr().expect("address");
+    let mut stream = accept(&listener);
+    read_http(&mut stream);
+    drop((listener, stream));
+    addr
+}
+
+/// Guards against a crash that the reducer hears of only after the requests
+/// that were in flight have ended, so that it cannot name suspects.
+#[test]
+fn a_crash_is_reported_before_the_requests_it_ended() {
+    let (addr, thread) = server(crash);
+    let seen = Rc::new(RefCell::new(Vec::new()));
+    let events = Rc::clone(&seen);
+    run(async move {
+        let upstream = upstream(addr);
+        let sink = Rc::clone(&events);
+        upstream.watch(Rc::new(move |event| {
+            let name = match event {
+                Event::UpstreamUp => "up",
+                Event::UpstreamDown => "down",
+                _ => "other",
+            };
+            sink.borrow_mut().push(name);
+        }));
+        let reply = dispatch(&upstream, None).await;
+        assert_eq!(reply.expect_err("lost").reason, Reason::ConnectionLost);
+        events.borrow_mut().push("lost");
+    });
+    thread.join().expect("server");
+    assert_eq!(*seen.borrow(), ["up", "down", "lost"]);
+}
