Tell attempts of one request apart by a serial number

The reducer can abort a request at the upstream and dispatch it again. The end of the aborted attempt could then be taken for that of the new one.

--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -70,6 +70,7 @@
     requests: RefCell<Slab<Entry>>,
     kept: RefCell<HashMap<Ticket, Answer>>,
     starts: Cell<u32>,
+    serials: Cell<u64>,
     unwritten: Cell<usize>,
 }
 
@@ -100,6 +101,8 @@
 #[derive(Debug)]
 struct Attempt {
     hop: Hop,
+    /// Tells this attempt from an aborted one of the same hop.
+    serial: u64,
     abort: Option<oneshot::Sender<()>>,
     answer: Option<Answer>,
 }
@@ -134,6 +137,7 @@
             requests: RefCell::default(),
             kept: RefCell::default(),
             starts: Cell::new(0),
+            serials: Cell::new(0),
             unwritten: Cell::new(0),
         };
         Self { inner: Rc::new(inner) }
@@ -417,21 +421,25 @@
     /// Runs an attempt in its own task until it ends or is aborted.
     fn start(&self, ticket: Ticket, hop: Hop, reply: Local<Reply>) {
         let (abort, aborted) = oneshot::channel::<()>();
-        let attempt = Attempt { hop, abort: Some(abort), answer: None };
+        let serial = self.inner.serials.get() + 1;
+        self.inner.serials.set(serial);
+        let abort = Some(abort);
+        let attempt = Attempt { hop, serial, abort, answer: None };
         self.with(ticket, |entry| entry.hops.push(attempt));
         let shell = self.clone();
         monoio::spawn(async move {
             monoio::select! {
+                biased;
                 _ = aborted => {}
-                reply = reply => shell.attempt_done(ticket, hop, reply),
+                reply = reply => shell.attempt_done(ticket, serial, reply),
             }
         });
     }
 
-    fn attempt_done(&self, ticket: Ticket, hop: Hop, reply: Reply) {
-        let ended = self.with(ticket, |entry| entry.end(hop, reply));
+    fn attempt_done(&self, ticket: Ticket, serial: u64, reply: Reply) {
+        let ended = self.with(ticket, |entry| entry.end(serial, reply));
         // An attempt that was aborted while it ended reports nothing.
-        let Some(outcome) = ended.flatten() else { return };
+        let Some((hop, outcome)) = ended.flatten() else { return };
         self.report(ticket, hop, outcome);
     }
 
@@ -492,11 +500,11 @@
 
 impl Entry {
     /// Notes the end of an attempt; `None` if it was aborted.
-    fn end(&mut self, hop: Hop, reply: Reply) -> Option<Outcome> {
+    fn end(&mut self, serial: u64, reply: Reply) -> Option<(Hop, Outcome)> {
         let mut hops = self.hops.iter_mut();
-        let attempt = hops.find(|attempt| attempt.hop == hop)?;
+        let attempt = hops.find(|attempt| attempt.serial == serial)?;
         attempt.abort = None;
-        Some(match reply {
+        let outcome = match reply {
             Err(refusal) => Outcome::Failed(refusal),
             Ok(answer) => {
                 let status = answer.status.as_u16();
@@ -504,7 +512,8 @@
                 attempt.answer = Some(answer);
                 Outcome::Answered { status, size }
             }
-        })
+        };
+        Some((attempt.hop, outcome))
     }
 
     /// The answer that is wanted: of the upstream if it was asked, else of
