--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -711,8 +711,8 @@
                 "key {key} has holders {holders:?} at {} us",
                 self.now
             );
-            let grants = holders.iter().filter(|h| h.1 != FINISHING);
-            let Some(&(node, shard, fence)) = grants.last() else {
+            let grant = holders.iter().rfind(|h| h.1 != FINISHING);
+            let Some(&(node, shard, fence)) = grant else {
                 let since = self.served.get(&key).copied().unwrap_or(0);
                 self.gap = self.gap.max((self.now - since) / MS);
                 continue;
