Choose and hedge on the request path of services without keys

Members were drawn at random. The ingress now asks the chooser, reads members at most every 100 ms (a copy of the list for each request would not fit a core with thousands of members), passes work on when its own upstream is overloaded or down, and hedges idempotent requests after the 95th percentile within 5% of requests. Hedges are sent on any event, so that a busy node does not wait for its 25 ms tick. A request that runs at the node's own upstream is not hedged, since Effect::Answer could not tell the two answers apart.

The file of the request path is split: dispatch (own upstream), forward (peers), flow (placement and ends).

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -7,8 +7,6 @@
 use std::collections::{BTreeSet, HashMap};
 use std::fmt::Debug;
 
-use rand::SeedableRng;
-use rand_pcg::Pcg64Mcg;
 use slab::Slab;
 
 use crate::clock::Millis;
@@ -25,7 +23,9 @@
 pub mod admit;
 pub mod choose;
 pub mod dedupe;
+mod dispatch;
 mod flow;
+mod forward;
 pub mod retry;
 pub mod share;
 
@@ -181,7 +181,11 @@
     up: bool,
     retries: retry::Budget,
     dedupe: dedupe::Dedupe,
-    random: Pcg64Mcg,
+    chooser: choose::Chooser,
+    services: forward::Services,
+    hedge_budget: retry::Budget,
+    /// Forwarded entries, by when a second attempt is due.
+    hedges: BTreeSet<(Millis, usize)>,
 }
 
 impl Requests {
@@ -204,7 +208,13 @@
                 retry::RETRY_PERCENT,
                 retry::RETRY_BURST,
             ),
-            random: Pcg64Mcg::seed_from_u64(seed),
+            chooser: choose::Chooser::new(seed),
+            services: HashMap::new(),
+            hedge_budget: retry::Budget::new(
+                forward::HEDGE_PERCENT,
+                forward::HEDGE_BURST,
+            ),
+            hedges: BTreeSet::new(),
         }
     }
 
@@ -217,6 +227,7 @@
         out: &mut Vec<Effect>,
     ) {
         self.begin(arrival, &mut view, now, out);
+        self.hedge_slow(now, out);
     }
 
     /// An attempt at a peer ended.
@@ -230,6 +241,7 @@
         out: &mut Vec<Effect>,
     ) {
         self.peer_ended((ticket, attempt), outcome, &mut view, now, out);
+        self.hedge_slow(now, out);
     }
 
     /// A dispatched request ended.
@@ -283,6 +295,7 @@
         out: &mut Vec<Effect>,
     ) {
         self.expire(now, out);
+        self.hedge_slow(now, out);
         self.check_stalls(&mut view, now, out);
         self.check_leases(&mut view, now, out);
         self.wake(&mut view, now, out);
--- a/crates/core/src/request/choose.rs
+++ b/crates/core/src/request/choose.rs
@@ -262,8 +262,7 @@
     ///
     /// # Panics
     ///
-    /// Does not panic: the bounds of the histogram are constants that it
-    /// accepts.
+    /// Never: the histogram's bounds are constants within its range.
     #[must_use]
     pub fn new(now: Millis) -> Self {
         let histogram = Histogram::new_with_bounds(1, LATENCY_MAX, 2);
--- a/crates/core/tests/requests/dedupe.rs
+++ b/crates/core/tests/requests/dedupe.rs
@@ -1,6 +1,5 @@
 //! Requests with idempotency keys.
 
-use lagoondyke_core::control::MapMember;
 use lagoondyke_core::effect::Effect;
 use lagoondyke_core::event::{Arrival, Outcome};
 use lagoondyke_core::id::{Fingerprint, Incarnation, Ticket};
@@ -12,7 +11,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::support::{
-    Bed, answered, brief, failed, from_peer, grant, node, post,
+    Bed, answered, brief, failed, from_peer, grant, member, post,
 };
 
 fn payment(ticket: u64, token: &str, scope: Option<&str>) -> Arrival {
@@ -132,14 +131,7 @@
         ("x", "refuse 1 bad-request NotRun"),
     ] {
         let mut bed = Bed::new();
-        bed.routes.members = [1, 2]
-            .map(|n: u16| MapMember {
-                addr: node(n),
-                incarnation: Incarnation(10 + u32::from(n)),
-                domain: 0,
-                limit: 4,
-            })
-            .into();
+        bed.routes.members = vec![member(1), member(2)];
         let mut out = bed.arrive(ask(scope));
         out.extend(bed.tick_at(500));
         assert_eq!(brief(&out), [expected]);
--- a/crates/core/tests/requests/flow.rs
+++ b/crates/core/tests/requests/flow.rs
@@ -1,9 +1,8 @@
 //! Placement, retries, deadlines and leases.
 
 use lagoondyke_core::clock::Millis;
-use lagoondyke_core::control::MapMember;
 use lagoondyke_core::event::Arrival;
-use lagoondyke_core::id::{Incarnation, Shard};
+use lagoondyke_core::id::Shard;
 use lagoondyke_core::route::Lookup;
 use lagoondyke_core::verdict::Reason;
 
@@ -268,25 +267,6 @@
     assert_eq!(brief(&bed.upstream(0, answered())), expected);
 }
 
-#[test]
-fn a_service_without_keys_is_served_by_any_member() {
-    let member = |n: u16| MapMember {
-        addr: node(n),
-        incarnation: Incarnation(u32::from(n)),
-        domain: 0,
-        limit: 4,
-    };
-    let keyless =
-        |t| Arrival { key: None, service: "udlaan".into(), ..get(t) };
-    let mut bed = Bed::new();
-    assert!(bed.arrive(keyless(1)).is_empty(), "no member is known");
-    bed.routes.members = vec![member(1), member(2)];
-    let to = |out: Vec<String>| out[0].chars().last().unwrap();
-    let first = to(brief(&bed.tick_at(25)));
-    let next = to(brief(&bed.peer(1, 0, failed(Reason::Overloaded))));
-    assert_ne!(first, next, "the member that refused is not chosen again");
-}
-
 #[test]
 fn nothing_is_dispatched_while_the_upstream_is_down() {
     let mut bed = Bed::owner();
--- a/crates/core/tests/requests/main.rs
+++ b/crates/core/tests/requests/main.rs
@@ -2,4 +2,5 @@
 
 mod dedupe;
 mod flow;
+mod members;
 mod support;
--- /dev/null
+++ b/crates/core/tests/requests/members.rs
@@ -0,0 +1,141 @@
+//! Services that are not partitioned by key: choice, retries, hedges.
+
+use lagoondyke_core::clock::Millis;
+use lagoondyke_core::event::Arrival;
+use lagoondyke_core::verdict::Reason;
+
+use crate::support::{
+    Bed, answered, brief, failed, from_peer, get, member, post,
+};
+
+fn any(arrival: Arrival) -> Arrival {
+    Arrival { key: None, service: "udlaan".into(), ..arrival }
+}
+
+/// An ingress of another service that knows these members.
+fn ingress(members: &[u16]) -> Bed {
+    let mut bed = Bed::new();
+    bed.routes.members = members.iter().map(|&n| member(n)).collect();
+    bed
+}
+
+/// The node that the first effect forwards to.
+fn target(out: &[String]) -> char {
+    assert!(out[0].starts_with("forward"), "{out:?}");
+    out[0].chars().last().unwrap()
+}
+
+#[test]
+fn a_member_that_refused_is_not_chosen_again() {
+    for reason in [Reason::Overloaded, Reason::NotOwner, Reason::ConnectFailed]
+    {
+        let mut bed = ingress(&[]);
+        assert!(bed.arrive(any(post(1))).is_empty(), "no member is known");
+        bed.routes.members = vec![member(1), member(2)];
+        let first = target(&brief(&bed.tick_at(25)));
+        let next = target(&brief(&bed.peer(1, 0, failed(reason))));
+        assert_ne!(first, next);
+    }
+}
+
+#[test]
+fn requests_spread_by_what_is_outstanding() {
+    let mut bed = ingress(&[1, 2, 3, 4]);
+    let mut counts = [0; 5];
+    for ticket in 0..40 {
+        let to = target(&brief(&bed.arrive(any(get(ticket)))));
+        counts[to.to_digit(10).unwrap() as usize] += 1;
+    }
+    for count in &counts[1..] {
+        assert!((8..=12).contains(count), "{counts:?}");
+    }
+}
+
+/// Local overload is no reason to refuse work that others could do.
+#[test]
+fn a_busy_own_upstream_passes_work_on() {
+    let mut bed = Bed::owner();
+    let text = r#"{"operator": "jutland", "domains": {}, "services": {
+        "katalog": {"keyed": false}}}"#;
+    bed.config = Some(serde_json::from_str(text).unwrap());
+    bed.routes.members = vec![member(0)];
+    for ticket in 0..17 {
+        bed.arrive(get(ticket));
+    }
+    bed.routes.members = vec![member(0), member(1)];
+    bed.tick_at(100);
+    let mut forwarded = 0;
+    for ticket in 20..40 {
+        let out = brief(&bed.arrive(get(ticket)));
+        forwarded += usize::from(out[0].ends_with("/0 1"));
+    }
+    assert_eq!(forwarded, 20);
+    let out = bed.arrive(from_peer(get(50)));
+    assert_eq!(brief(&out), ["refuse 50 overloaded NotRun"]);
+}
+
+/// 400 requests that take 10 ms, so that the 95th percentile is known.
+fn known_latency(bed: &mut Bed) {
+    for ticket in 1_000..1_400 {
+        bed.arrive(any(get(ticket)));
+        bed.now += 10;
+        bed.peer(ticket, 0, answered());
+    }
+}
+
+#[test]
+fn a_slow_request_is_hedged_and_answered_once() {
+    let mut bed = ingress(&[1, 2]);
+    known_latency(&mut bed);
+    let first = target(&brief(&bed.arrive(any(get(1)))));
+    bed.arrive(any(post(2)));
+    assert!(bed.tick_after(10).is_empty());
+    let out = brief(&bed.tick_after(1));
+    assert_eq!(out.len(), 1, "the POST is not hedged: {out:?}");
+    assert!(out[0].starts_with("forward 1/1"));
+    assert_ne!(target(&out), first);
+    let expected = ["abort 1/0", "answer 1/1"];
+    assert_eq!(brief(&bed.peer(1, 1, answered())), expected);
+    assert!(bed.peer(1, 0, answered()).is_empty());
+    assert_eq!(bed.requests.len(), 1);
+}
+
+#[test]
+fn a_hedged_request_fails_only_when_both_attempts_fail() {
+    for (first, second) in [(0, 1), (1, 0)] {
+        let mut bed = ingress(&[1, 2]);
+        known_latency(&mut bed);
+        bed.arrive(any(Arrival { budget: 100, ..get(1) }));
+        bed.tick_after(11);
+        let lost = failed(Reason::ConnectionLost);
+        assert!(bed.peer(1, first, lost).is_empty());
+        let out = bed.peer(1, second, failed(Reason::Poisoned));
+        assert_eq!(brief(&out), ["refuse 1 poisoned MayHaveRun"]);
+    }
+}
+
+#[test]
+fn the_deadline_ends_both_attempts() {
+    let mut bed = ingress(&[1, 2]);
+    known_latency(&mut bed);
+    bed.arrive(any(Arrival { budget: 50, ..get(1) }));
+    bed.tick_after(11);
+    let out = brief(&bed.tick_after(50));
+    let expected =
+        ["abort 1/0", "abort 1/1", "refuse 1 deadline-after MayHaveRun"];
+    assert_eq!(out, expected);
+}
+
+/// Hedges of a service that is slow as a whole would double its load.
+#[test]
+fn hedges_stay_within_their_budget() {
+    let mut bed = ingress(&[1, 2, 3]);
+    known_latency(&mut bed);
+    let mut hedges = 0;
+    for ticket in 0..400 {
+        bed.arrive(any(get(ticket)));
+        hedges += bed.tick_after(11).len();
+    }
+    assert!((20..=30).contains(&hedges), "5% of 400 and 10: {hedges}");
+    assert_eq!(bed.requests.load(Millis(bed.now)).busy, 0);
+}
--- a/crates/core/tests/requests/support.rs
+++ b/crates/core/tests/requests/support.rs
@@ -97,6 +97,16 @@
     NodeAddr(([127, 0, 0, 1], 9_000 + number).into())
 }
 
+/// Node `number` as a member, with 10 + `number` as its process.
+pub fn member(number: u16) -> MapMember {
+    MapMember {
+        addr: node(number),
+        incarnation: Incarnation(10 + u32::from(number)),
+        domain: 0,
+        limit: 4,
+    }
+}
+
 pub fn grant(shard: u16, until: u64) -> Grant {
     let fence = Fence { epoch: Epoch(1), sequence: 1 };
     Grant { shard: Shard(shard), fence, until: Millis(until) }
@@ -146,7 +156,7 @@
             slots: SLOTS,
         };
         let text = r#"{"operator": "jutland", "domains": {}, "services": {
-            "katalog": {"keyed": true}, "udlaan": {"keyed": false}}}"#;
+            "katalog": {"keyed": true}, "udlaan": {"keyed": false, "hedge": true}}}"#;
         Self {
             requests: Requests::new(local, 1, Millis(0)),
             group: FakeGroup {
