Report requests at crashes and heavy keys, refuse harmful requests

A request that crashes its upstream was sent again to the next one. What was in flight at a crash, or lost its connection within the second before the crash was noticed, is reported in Load.suspects once for each crash; what the leader lists, or this process saw at two crashes, is refused without having run. Counting everything in flight would quarantine popular harmless requests after any two crashes, so requests that were answered within the last minute are no suspects.

Load.hot comes from a space-saving counter of 64 keys: keys with at least 5% of the last second's requests and 20 requests a second, at most 8.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -26,6 +26,8 @@
 mod dispatch;
 mod flow;
 mod forward;
+pub mod heavy;
+pub mod poison;
 pub mod retry;
 pub mod share;
 
@@ -179,6 +181,8 @@
     running: Vec<usize>,
     /// The upstream is reachable.
     up: bool,
+    suspects: poison::Suspects,
+    heavy: heavy::Heavy,
     retries: retry::Budget,
     dedupe: dedupe::Dedupe,
     chooser: choose::Chooser,
@@ -204,6 +208,8 @@
             local,
             running: Vec::new(),
             up: true,
+            suspects: poison::Suspects::new(),
+            heavy: heavy::Heavy::new(now),
             retries: retry::Budget::new(
                 retry::RETRY_PERCENT,
                 retry::RETRY_BURST,
@@ -275,7 +281,11 @@
     /// The shell reports the requests that were in flight one by one as
     /// well, before or after this.
     pub fn upstream_down(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        if !self.up {
+            return;
+        }
         self.up = false;
+        self.suspect(now);
         self.limit.crashed(now);
         self.empty_queue(now, out);
         out.push(Effect::Notice(crate::effect::Notice::UpstreamDown));
@@ -283,6 +293,9 @@
 
     /// The upstream is back; it starts cold.
     pub fn upstream_up(&mut self, _now: Millis, out: &mut Vec<Effect>) {
+        if self.up {
+            return;
+        }
         self.up = true;
         out.push(Effect::Notice(crate::effect::Notice::UpstreamUp));
     }
@@ -294,6 +307,7 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
+        self.heavy.tick(now);
         self.expire(now, out);
         self.hedge_slow(now, out);
         self.check_stalls(&mut view, now, out);
@@ -304,10 +318,12 @@
 
     /// The load for heartbeats and planned moves.
     #[must_use]
-    pub fn load(&self, _now: Millis) -> Load {
+    pub fn load(&self, now: Millis) -> Load {
         let mut load = Load {
             busy: self.running.len() as u16,
             limit: self.limit.value() as u16,
+            hot: self.heavy.hot().to_vec(),
+            suspects: self.suspects.report(now),
             ..Load::default()
         };
         for &id in &self.running {
--- a/crates/core/src/request/dispatch.rs
+++ b/crates/core/src/request/dispatch.rs
@@ -10,7 +10,7 @@
 use crate::request::dedupe::{Ask, End, Opened};
 use crate::request::flow::{DEADLINE, Phase, overloaded};
 use crate::request::{Requests, View};
-use crate::verdict::{Reason, Refusal};
+use crate::verdict::{Reason, Refusal, Verdict};
 
 /// Requests that may wait for the upstream, per slot. A full queue takes
 /// four times the latency of a request to serve at the full limit.
@@ -143,8 +143,11 @@
             self.abandon(id, Reason::DeadlineBefore, DEADLINE, now, out);
             return;
         }
-        entry.phase =
-            Phase::Running { shard: grant.map(|g| g.shard), since: now };
+        entry.phase = Phase::Running {
+            shard: grant.map(|g| g.shard),
+            since: now,
+            suspect: false,
+        };
         self.running.push(id);
         if self.running.len() >= self.limit.value() {
             self.limit.used_in_full();
@@ -194,6 +197,12 @@
         if head.service != self.local.service {
             return Err(Reason::NotOwner);
         }
+        let print = head.fingerprint;
+        if view.group.poison().contains(&print)
+            || self.suspects.harmful(print, now)
+        {
+            return Err(Reason::Poisoned);
+        }
         if !spec.keyed {
             let lease = view.group.lease(now);
             return lease.map(|_| None).ok_or(Reason::NotOwner);
@@ -215,6 +224,7 @@
         if !matches!(self.entries[id].phase, Phase::Running { .. }) {
             return;
         }
+        self.note_end(id, &outcome, now);
         self.leave_upstream(id, sample(&outcome), now);
         if let Some(chosen) = self.entries[id].chosen.take() {
             let here = self.local.addr;
@@ -238,6 +248,36 @@
         }
     }
 
+    /// Remembers what an outcome says of a request at the upstream.
+    fn note_end(&mut self, id: usize, outcome: &Outcome, now: Millis) {
+        let entry = &self.entries[id];
+        let print = entry.head.fingerprint;
+        match outcome {
+            Outcome::Answered { .. } => self.suspects.passed(print, now),
+            Outcome::Failed(refusal) => {
+                let known = matches!(entry.phase, Phase::Running { suspect, .. }
+                        if suspect);
+                if refusal.verdict == Verdict::MayHaveRun && !known {
+                    self.suspects.lost(print, now);
+                }
+            }
+        }
+    }
+
+    /// Makes suspects of the requests at an upstream that crashed.
+    pub(super) fn suspect(&mut self, now: Millis) {
+        for &id in &self.running {
+            let phase = &mut self.entries[id].phase;
+            if let Phase::Running { suspect, .. } = phase {
+                *suspect = true;
+            }
+        }
+        let entries = &self.entries;
+        let flying = self.running.iter();
+        let flying = flying.map(|&id| entries[id].head.fingerprint);
+        self.suspects.crashed(flying, now);
+    }
+
     /// Cancels requests at the upstream that this node may no longer serve.
     ///
     /// Requests of services that are not partitioned by key go on: they
--- a/crates/core/src/request/flow.rs
+++ b/crates/core/src/request/flow.rs
@@ -50,7 +50,12 @@
     /// Waiting for a slot of the upstream.
     Queued,
     /// At the upstream.
-    Running { shard: Option<Shard>, since: Millis },
+    Running {
+        shard: Option<Shard>,
+        since: Millis,
+        /// It was there at a crash that was noticed.
+        suspect: bool,
+    },
     /// At a peer.
     Forwarded { attempt: Attempt },
 }
@@ -77,6 +82,8 @@
     pub(super) hedge: Option<Attempt>,
     /// When a second attempt is due.
     pub(super) hedge_due: Option<Millis>,
+    /// It counts as a request of its key.
+    pub(super) counted: bool,
     /// It was placed at this node by choice at that time.
     pub(super) chosen: Option<Millis>,
 }
@@ -157,6 +164,7 @@
             keyed: true,
             hedge: None,
             hedge_due: None,
+            counted: false,
             chosen: None,
         });
         self.tickets.insert(ticket, id);
@@ -211,11 +219,19 @@
         let service = &entry.head.service;
         let reason = match self.permit(&entry.head, spec, view, now) {
             Ok(grant) => {
+                if !entry.counted {
+                    self.entries[id].counted = true;
+                    self.heavy.count(key);
+                }
                 self.admit_or_refuse(id, spec, grant, now, out);
                 return;
             }
             Err(reason) => reason,
         };
+        if reason == Reason::Poisoned {
+            self.refuse(id, Refusal::new(reason, why(reason)), out);
+            return;
+        }
         if entry.head.source == Source::Peer || reason == Reason::Moving {
             self.hold(id, reason, now, out);
             return;
@@ -245,7 +261,13 @@
     ) {
         self.entries[id].keyed = false;
         let entry = &self.entries[id];
-        let own = self.permit(&entry.head, spec, view, now).is_ok();
+        let permit = self.permit(&entry.head, spec, view, now);
+        if permit == Err(Reason::Poisoned) {
+            let detail = why(Reason::Poisoned);
+            self.refuse(id, Refusal::new(Reason::Poisoned, detail), out);
+            return;
+        }
+        let own = permit.is_ok();
         if entry.head.source == Source::Peer {
             if own {
                 self.admit_or_refuse(id, spec, None, now, out);
@@ -596,6 +618,7 @@
         Reason::Moving => "the key's shard is moving to another node",
         Reason::NotOwner => "this node does not own the key",
         Reason::ConnectFailed => "the upstream is down",
+        Reason::Poisoned => "requests like this one crashed upstreams",
         _ => "no node owns the key at present",
     }
 }
--- a/crates/core/tests/requests/main.rs
+++ b/crates/core/tests/requests/main.rs
@@ -3,4 +3,5 @@
 mod dedupe;
 mod flow;
 mod members;
+mod poison;
 mod support;
