--- /dev/null
+++ b/crates/core/examples/breaker.rs
@@ -0,0 +1,206 @@
+//! Compares the concurrency limit with and without a circuit breaker.
+//!
+//! The upstream has 12 slots and answers in 3 to 7 ms; offered load is 70%
+//! of what it can do, with deadlines of 1 s. It is faulty from 10 s to
+//! 20 s of 30 s. A request is lost if it was dispatched and not answered:
+//! its caller is told that it may have run.
+//!
+//! Run with `cargo run --release --example breaker`.
+
+use lagoondyke_core::clock::Millis;
+use lagoondyke_core::request::admit::{Limit, Sample};
+use lagoondyke_core::request::breaker::Breaker;
+use lagoondyke_core::request::share::Queue;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const SLOTS: u16 = 12;
+const RUN: u64 = 30_000;
+const BUDGET: u64 = 1_000;
+/// Arrivals per millisecond.
+const RATE: f64 = 0.7 * SLOTS as f64 / 5.0;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Fault {
+    /// Accepts requests and does not answer.
+    Frozen,
+    /// Loses each request after a millisecond.
+    Reset,
+    /// Loses this share of requests after a millisecond.
+    Flaky(f64),
+    /// Loses each request in turns: 200 ms faulty, 200 ms sound.
+    Flapping,
+}
+
+struct Job {
+    deadline: u64,
+    since: u64,
+    end: u64,
+    lost: bool,
+}
+
+struct World {
+    fault: Fault,
+    limit: Limit,
+    breaker: Option<Breaker>,
+    queue: Queue,
+    jobs: Vec<Job>,
+    offered: usize,
+    answered: usize,
+    refused: usize,
+    lost: usize,
+    /// When nine tenths of the offered load are answered again.
+    recovered: Option<u64>,
+    window: usize,
+    random: Pcg64Mcg,
+}
+
+impl World {
+    fn new(fault: Fault, breaker: Option<Breaker>) -> Self {
+        Self {
+            fault,
+            limit: Limit::new(SLOTS, Millis(0)),
+            breaker,
+            queue: Queue::new(),
+            jobs: Vec::new(),
+            offered: 0,
+            answered: 0,
+            refused: 0,
+            lost: 0,
+            recovered: None,
+            window: 0,
+            random: Pcg64Mcg::seed_from_u64(9),
+        }
+    }
+
+    fn allowance(&self, now: u64) -> usize {
+        let limit = self.limit.value();
+        let breaker = self.breaker.as_ref();
+        breaker.map_or(limit, |b| b.allowance(limit, Millis(now)))
+    }
+
+    fn arrive(&mut self, now: u64) {
+        let mut left = RATE;
+        while left > 0.0 && self.random.random::<f64>() < left {
+            left -= 1.0;
+            self.offered += 1;
+            let open = self.breaker.is_some_and(|b| b.is_open(Millis(now)));
+            let wait = self.limit.expected_wait(self.queue.len() + 1);
+            let full = self.queue.len() >= 4 * usize::from(SLOTS);
+            if open || full || wait >= BUDGET {
+                self.refused += 1;
+                continue;
+            }
+            let item = (Millis(now + BUDGET), self.offered);
+            self.queue.push("", 1, item);
+        }
+    }
+
+    /// When a request that starts now ends, and whether it is lost.
+    fn fate(&mut self, now: u64) -> (u64, bool) {
+        let sound = self.random.random_range(3..=7);
+        let chance = self.random.random::<f64>();
+        let faulty = (10_000..20_000).contains(&now);
+        match self.fault {
+            Fault::Frozen if faulty => (20_000 + sound, false),
+            Fault::Reset if faulty => (now + 1, true),
+            Fault::Flaky(share) if faulty && chance < share => (now + 1, true),
+            Fault::Flapping if faulty && (now / 200).is_multiple_of(2) => {
+                (now + 1, true)
+            }
+            _ => (now + sound, false),
+        }
+    }
+
+    fn dispatch(&mut self, now: u64) {
+        while self.jobs.len() < self.allowance(now) {
+            let Some((deadline, _)) = self.queue.pop() else { return };
+            if deadline.0 <= now {
+                self.refused += 1;
+                continue;
+            }
+            let (end, lost) = self.fate(now);
+            let deadline = deadline.0;
+            self.jobs.push(Job { deadline, since: now, end, lost });
+        }
+        self.limit.used_in_full();
+    }
+
+    fn end(&mut self, now: u64) {
+        let ended: Vec<Job> = self
+            .jobs
+            .extract_if(.., |j| j.end <= now || j.deadline <= now)
+            .collect();
+        for job in ended {
+            let since = Millis(job.since);
+            let sample = match (job.end <= now, job.lost) {
+                (true, false) => Sample::Answered,
+                (true, true) => Sample::Failed,
+                (false, _) => Sample::Cancelled,
+            };
+            self.limit.ended(since, sample, Millis(now));
+            if sample == Sample::Answered {
+                self.answered += 1;
+                self.window += 1;
+            } else {
+                self.lost += 1;
+            }
+            let Some(breaker) = &mut self.breaker else { continue };
+            if sample == Sample::Answered {
+                breaker.answered(since);
+            } else {
+                breaker.failed(since, Millis(now));
+            }
+        }
+    }
+
+    fn check(&mut self, now: u64) {
+        if let Some(age) = self.limit.stall_age() {
+            let old = self.jobs.iter().filter(|j| now - j.since > age);
+            self.limit.stalled(old.count(), self.jobs.len(), Millis(now));
+        }
+    }
+
+    fn run(mut self) -> Self {
+        for now in 0..RUN {
+            self.end(now);
+            self.arrive(now);
+            self.dispatch(now);
+            if now.is_multiple_of(25) {
+                self.check(now);
+            }
+            if now.is_multiple_of(100) {
+                let target = (RATE * 100.0 * 0.9) as usize;
+                let full = now > 20_000 && self.window >= target;
+                if full && self.recovered.is_none() {
+                    self.recovered = Some(now - 20_000);
+                }
+                self.window = 0;
+            }
+        }
+        self
+    }
+}
+
+fn main() {
+    let faults = [
+        ("frozen", Fault::Frozen),
+        ("loses each request", Fault::Reset),
+        ("loses 20% of requests", Fault::Flaky(0.2)),
+        ("loses 50% of requests", Fault::Flaky(0.5)),
+        ("flapping", Fault::Flapping),
+    ];
+    for (title, fault) in faults {
+        println!("{title} for 10 s of 30 s:");
+        let rules = [("limit", None), ("breaker", Some(Breaker::new()))];
+        for (name, breaker) in rules {
+            let world = World::new(fault, breaker).run();
+            let recovered = world.recovered.unwrap_or(RUN);
+            println!(
+                "  {name:8} answered {:5}  not-run {:5}  lost {:5}  \
+                 full service {recovered} ms after the fault",
+                world.answered, world.refused, world.lost,
+            );
+        }
+    }
+}
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -21,6 +21,7 @@
 use crate::verdict::Reason;
 
 pub mod admit;
+pub mod breaker;
 pub mod choose;
 pub mod dedupe;
 mod dispatch;
@@ -177,6 +178,7 @@
     /// Entries that wait for a slot of the upstream.
     queue: share::Queue,
     limit: admit::Limit,
+    breaker: breaker::Breaker,
     /// Entries at the upstream, at most `slots`.
     running: Vec<usize>,
     /// The upstream is reachable.
@@ -205,6 +207,7 @@
             waiting: BTreeSet::new(),
             queue: share::Queue::new(),
             limit: admit::Limit::new(local.slots, now),
+            breaker: breaker::Breaker::new(),
             local,
             running: Vec::new(),
             up: true,
@@ -297,6 +300,7 @@
             return;
         }
         self.up = true;
+        self.breaker = breaker::Breaker::new();
         out.push(Effect::Notice(crate::effect::Notice::UpstreamUp));
     }
 
--- a/crates/core/src/request/admit.rs
+++ b/crates/core/src/request/admit.rs
@@ -8,7 +8,8 @@
 //!   and the latency is accepted as the new base.
 //! - Latency far above the long-term floor means that the upstream turned
 //!   cold, or something worse: the limit falls to 1 and grows slowly.
-//! - Errors and shed requests cut the limit; a crash sets it to 1.
+//! - Errors cut the limit under the same condition; shed requests cut it,
+//!   and a crash sets it to 1.
 //!
 //! # Example
 //!
@@ -55,9 +56,13 @@
 /// the scheduling of the VM show at this scale.
 const SLACK: f64 = 2.0;
 
-/// Share of errors in a window that cuts the limit.
+/// Share of errors in a window, beyond the accepted one, that cuts the limit.
 const ERRORS: f64 = 0.1;
 
+/// Share of errors that always cuts the limit. An upstream that collapsed
+/// may fail as much after a cut as before.
+const ERRORS_MAX: f64 = 0.5;
+
 /// How fast the base and the floor follow a higher latency, per window.
 const BASE_RISE: f64 = 0.02;
 const FLOOR_RISE: f64 = 0.001;
@@ -94,6 +99,10 @@
     mean: Option<f64>,
     /// Mean latency before the last window's cut.
     cut_at: Option<f64>,
+    /// Share of errors that a cut does not cure.
+    errors: f64,
+    /// Share of errors before the last window's cut.
+    errors_at: Option<f64>,
     window: Window,
 }
 
@@ -125,6 +134,8 @@
             floor: None,
             mean: None,
             cut_at: None,
+            errors: 0.0,
+            errors_at: None,
             window: Window::new(now),
         }
     }
@@ -239,6 +250,8 @@
         self.cold = true;
         self.base = None;
         self.cut_at = None;
+        self.errors = 0.0;
+        self.errors_at = None;
         self.window = Window::new(now);
     }
 
@@ -251,12 +264,10 @@
     fn judge(&mut self, now: Millis) {
         let window = self.window;
         self.window = Window::new(now);
-        let total = f64::from(window.answers + window.errors);
-        if f64::from(window.errors) > ERRORS * total {
-            self.cut(now);
+        if self.judge_errors(window, now) || window.answers == 0 {
             return;
         }
-        let mean = window.sum as f64 / f64::from(window.answers.max(1));
+        let mean = window.sum as f64 / f64::from(window.answers);
         let far = |of: f64, times: f64| mean > times * of + SLACK;
         if !self.cold && self.floor.is_some_and(|floor| far(floor, COLD)) {
             self.chill(now);
@@ -279,6 +290,24 @@
         }
     }
 
+    /// Cuts the limit if errors rose and cutting may help.
+    fn judge_errors(&mut self, window: Window, now: Millis) -> bool {
+        let total = f64::from(window.answers + window.errors);
+        let share = f64::from(window.errors) / total;
+        let helped = self.errors_at.is_none_or(|before| share < 0.9 * before);
+        if share > ERRORS_MAX || share > self.errors + ERRORS && helped {
+            self.errors_at = Some(share);
+            self.cut(now);
+            return true;
+        }
+        if share > self.errors + ERRORS {
+            self.errors = share;
+        }
+        self.errors_at = None;
+        self.errors += (share - self.errors).min(0.0) * FALL;
+        false
+    }
+
     fn learn(&mut self, mean: f64) {
         let follow = |old: Option<f64>, rise: f64| {
             let old = old.unwrap_or(mean);
--- a/crates/core/src/request/dispatch.rs
+++ b/crates/core/src/request/dispatch.rs
@@ -16,7 +16,19 @@
 /// four times the latency of a request to serve at the full limit.
 const QUEUE_PER_SLOT: usize = 4;
 
+/// Time without an answer that counts as a failure of the upstream if the
+/// deadline ends the request then, in milliseconds.
+const SILENCE: u64 = 500;
+
+/// Detail of a refusal while the upstream is down or its breaker is open.
+const DOWN: &str = "the upstream is down or fails all requests";
+
 impl Requests {
+    /// Requests that may be at the upstream at once.
+    fn allowance(&self, now: Millis) -> usize {
+        self.breaker.allowance(self.limit.value(), now)
+    }
+
     /// Runs a request at the upstream now, or queues it. Only its own
     /// refusal for load or a crashed upstream is returned; it may also end
     /// otherwise.
@@ -31,11 +43,10 @@
         if self.ran_before(id, out) {
             return Ok(());
         }
-        if !self.up {
-            let detail = "the upstream is down";
-            return Err(Refusal::new(Reason::ConnectFailed, detail));
+        if !self.up || self.breaker.is_open(now) {
+            return Err(Refusal::new(Reason::ConnectFailed, DOWN));
         }
-        let room = self.running.len() < self.limit.value();
+        let room = self.running.len() < self.allowance(now);
         if room && self.queue.is_empty() {
             self.dispatch(id, grant, now, out);
             return Ok(());
@@ -167,7 +178,7 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        while self.up && self.running.len() < self.limit.value() {
+        while self.up && self.running.len() < self.allowance(now) {
             let Some((deadline, id)) = self.queue.pop() else { return };
             self.entries[id].phase = Phase::Waiting { due: now };
             if now.plus(self.limit.least_time()) >= deadline {
@@ -225,6 +236,7 @@
             return;
         }
         self.note_end(id, &outcome, now);
+        self.judge_upstream(id, &outcome, now, out);
         self.leave_upstream(id, sample(&outcome), now);
         if let Some(chosen) = self.entries[id].chosen.take() {
             let here = self.local.addr;
@@ -264,6 +276,41 @@
         }
     }
 
+    /// Opens or closes the breaker.
+    fn judge_upstream(
+        &mut self,
+        id: usize,
+        outcome: &Outcome,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let Phase::Running { since, .. } = self.entries[id].phase else {
+            return;
+        };
+        match outcome {
+            Outcome::Answered { .. } => self.breaker.answered(since),
+            Outcome::Failed(refusal) if refusal.reason == Reason::Fenced => {}
+            Outcome::Failed(_) => {
+                self.breaker.failed(since, now);
+                if self.breaker.is_open(now) {
+                    self.empty_queue(now, out);
+                }
+            }
+        }
+    }
+
+    /// A request at the upstream reached its deadline. If it ran for much
+    /// longer than others do, the upstream failed it.
+    pub(super) fn note_silence(&mut self, id: usize, now: Millis) {
+        let Phase::Running { since, .. } = self.entries[id].phase else {
+            return;
+        };
+        let age = now.since(since);
+        if age >= SILENCE && age > 10 * self.limit.least_time() {
+            self.breaker.failed(since, now);
+        }
+    }
+
     /// Makes suspects of the requests at an upstream that crashed.
     pub(super) fn suspect(&mut self, now: Millis) {
         for &id in &self.running {
@@ -389,8 +436,7 @@
     pub(super) fn empty_queue(&mut self, now: Millis, out: &mut Vec<Effect>) {
         while let Some((_, id)) = self.queue.pop() {
             self.entries[id].phase = Phase::Waiting { due: now };
-            let detail = "the upstream is down";
-            let refusal = Refusal::new(Reason::ConnectFailed, detail);
+            let refusal = Refusal::new(Reason::ConnectFailed, DOWN);
             self.wait_or_refuse(id, refusal, now, out);
         }
     }
--- a/crates/core/src/request/flow.rs
+++ b/crates/core/src/request/flow.rs
@@ -494,6 +494,7 @@
             if deadline > now {
                 return;
             }
+            self.note_silence(id, now);
             self.abandon(id, Reason::DeadlineBefore, DEADLINE, now, out);
         }
     }
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -167,3 +167,32 @@
         (0..20).filter_map(|_| queue.pop()).map(|i| i.1).collect();
     assert_eq!(ids.iter().filter(|&&id| id >= 200).count(), 10);
 }
+
+/// Errors that a cut does not cure must not cost throughput as well.
+#[test]
+fn errors_that_a_cut_does_not_cure_are_accepted() {
+    let (mut limit, mut now) = warm();
+    let mut sum = 0;
+    for request in 0..6_000_u64 {
+        let failed = request % 5 == 0;
+        let sample = if failed { Sample::Failed } else { Sample::Answered };
+        now += 1;
+        limit.used_in_full();
+        limit.ended(Millis(now - 1), sample, Millis(now));
+        sum += if request < 1_000 { 0 } else { limit.value() };
+    }
+    let mean = sum / 5_000;
+    assert!(mean >= 10, "mean limit {mean}");
+}
+
+/// A collapsed upstream fails everything, before and after a cut.
+#[test]
+fn a_limit_does_not_grow_while_most_requests_fail() {
+    let (mut limit, mut now) = warm();
+    for _ in 0..2_000 {
+        now += 1;
+        limit.used_in_full();
+        limit.ended(Millis(now - 1), Sample::Failed, Millis(now));
+    }
+    assert_eq!(limit.value(), 1);
+}
--- a/crates/core/tests/requests/flow.rs
+++ b/crates/core/tests/requests/flow.rs
@@ -355,3 +355,44 @@
     assert!(bed.tick_after(25).is_empty(), "12 takes the only place");
     assert_eq!(bed.requests.len(), 2);
 }
+
+/// The limit alone would go on to lose one request after the other.
+#[test]
+fn an_upstream_that_loses_all_requests_gets_only_probes() {
+    let mut bed = Bed::warm();
+    for ticket in 0..10 {
+        assert_eq!(bed.arrive(from_peer(post(ticket))).len(), 1);
+        bed.now += 1;
+        bed.upstream(ticket, failed(Reason::ConnectionLost));
+    }
+    let out = bed.arrive(from_peer(post(10)));
+    assert_eq!(brief(&out), ["refuse 10 connect-failed NotRun"]);
+    bed.now += 500;
+    assert_eq!(bed.arrive(from_peer(post(11))).len(), 1, "a probe");
+    assert!(bed.arrive(from_peer(post(12))).is_empty());
+    let expected = [
+        "refuse 12 connect-failed NotRun",
+        "refuse 11 connection-lost MayHaveRun",
+    ];
+    let lost = failed(Reason::ConnectionLost);
+    assert_eq!(brief(&bed.upstream(11, lost)), expected);
+    bed.now += 500;
+    bed.arrive(from_peer(post(13)));
+    bed.upstream(13, answered());
+    assert_eq!(bed.arrive(from_peer(post(14))).len(), 1);
+}
+
+/// Callers with short deadlines must not open the breaker for all others.
+#[test]
+fn only_long_silence_counts_against_the_upstream() {
+    for (budget, refused) in [(100, false), (600, true)] {
+        let mut bed = Bed::warm();
+        for ticket in 0..10 {
+            bed.arrive(Arrival { budget, ..from_peer(post(ticket)) });
+            bed.tick_after(budget);
+        }
+        let out = brief(&bed.arrive(from_peer(post(20))));
+        let down = out == ["refuse 20 connect-failed NotRun"];
+        assert_eq!(down, refused, "{budget} ms: {out:?}");
+    }
+}
