Hedge requests at the own upstream and test with random events

A straggling own upstream was not hedged, since Effect::Answer could not tell its answer from that of an attempt. Answer now always means the answer whose arrival was just reported, and all other attempts are aborted before it; the documentation of the effect says so.

--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -59,7 +59,9 @@
     Answer {
         /// The request.
         ticket: Ticket,
-        /// The attempt whose answer is wanted; ignored after a dispatch.
+        /// The attempt whose answer is wanted; ignored if the answer came
+        /// from the upstream. Either way it is the answer whose arrival was
+        /// just reported; all other attempts have been aborted.
         attempt: u8,
         /// The idempotency scope to name in the answer.
         scope: Option<String>,
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -250,6 +250,7 @@
         out: &mut Vec<Effect>,
     ) {
         self.peer_ended((ticket, attempt), outcome, &mut view, now, out);
+        self.pump(&mut view, now, out);
         self.hedge_slow(now, out);
     }
 
--- a/crates/core/src/request/dispatch.rs
+++ b/crates/core/src/request/dispatch.rs
@@ -8,7 +8,7 @@
 use crate::id::Ticket;
 use crate::request::admit::Sample;
 use crate::request::dedupe::{Ask, End, Opened};
-use crate::request::flow::{DEADLINE, Phase, overloaded};
+use crate::request::flow::{Attempt, DEADLINE, Phase, overloaded};
 use crate::request::{Requests, View};
 use crate::verdict::{Reason, Refusal, Verdict};
 
@@ -181,9 +181,12 @@
         while self.up && self.running.len() < self.allowance(now) {
             let Some((deadline, id)) = self.queue.pop() else { return };
             self.entries[id].phase = Phase::Waiting { due: now };
-            if now.plus(self.limit.least_time()) >= deadline {
+            let late = now.plus(self.limit.least_time()) >= deadline;
+            if late && !self.go_on(id) {
                 let detail = "the deadline is too near for an answer";
                 self.abandon(id, Reason::DeadlineBefore, detail, now, out);
+            }
+            if late {
                 continue;
             }
             let head = &self.entries[id].head;
@@ -238,17 +241,10 @@
         self.note_end(id, &outcome, now);
         self.judge_upstream(id, &outcome, now, out);
         self.leave_upstream(id, sample(&outcome), now);
-        if let Some(chosen) = self.entries[id].chosen.take() {
-            let here = self.local.addr;
-            match &outcome {
-                Outcome::Answered { .. } => {
-                    self.chooser.answered(here, now.since(chosen), now);
-                }
-                Outcome::Failed(_) => self.chooser.failed(here, now),
-            }
-        }
+        self.note_chosen(id, &outcome, now);
         match outcome {
             Outcome::Answered { size, .. } => {
+                self.abort_attempts(id, now, out);
                 let entry = self.finish(id);
                 self.close(&entry, End::Answered { size }, out);
                 let scope = Some(self.dedupe.scope().to_owned());
@@ -260,6 +256,20 @@
         }
     }
 
+    /// Learns from a request that was placed here by choice.
+    fn note_chosen(&mut self, id: usize, outcome: &Outcome, now: Millis) {
+        let here = self.local.addr;
+        let entry = &mut self.entries[id];
+        let Some(chosen) = entry.chosen.take() else { return };
+        match outcome {
+            Outcome::Answered { .. } => {
+                let attempt = Attempt { number: 0, to: here, since: chosen };
+                self.note_answer(id, attempt, now);
+            }
+            Outcome::Failed(_) => self.chooser.failed(here, now),
+        }
+    }
+
     /// Remembers what an outcome says of a request at the upstream.
     fn note_end(&mut self, id: usize, outcome: &Outcome, now: Millis) {
         let entry = &self.entries[id];
@@ -392,6 +402,25 @@
         entry.phase = Phase::Waiting { due: now };
     }
 
+    /// Cancels a request at the upstream, if it is there.
+    pub(super) fn abort_run(
+        &mut self,
+        id: usize,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let entry = &mut self.entries[id];
+        let Phase::Running { since, .. } = entry.phase else { return };
+        entry.ran = true;
+        out.push(Effect::AbortUpstream { ticket: entry.head.ticket });
+        if let Some(chosen) = entry.chosen.take() {
+            let age = now.since(chosen);
+            self.chooser.given_up(self.local.addr, age, now);
+        }
+        self.limit.ended(since, Sample::Cancelled, now);
+        self.leave_upstream(id, None, now);
+    }
+
     /// Looks for requests that have been at the upstream for so long that it
     /// must have turned cold. Idempotent ones but one are cancelled and
     /// queued again: an upstream that turned cold under full load does not
--- a/crates/core/src/request/flow.rs
+++ b/crates/core/src/request/flow.rs
@@ -10,7 +10,6 @@
 use crate::effect::Effect;
 use crate::event::{Arrival, Source};
 use crate::id::{Incarnation, KeyHash, NodeAddr, Shard};
-use crate::request::admit::Sample;
 use crate::request::dedupe::{Ask, End, malformed_scope, parse_scope};
 use crate::request::retry::pause;
 use crate::request::{Requests, View};
@@ -181,6 +180,9 @@
         out: &mut Vec<Effect>,
     ) {
         self.unchoose(id);
+        if self.go_on(id) {
+            return;
+        }
         let head = &self.entries[id].head;
         let Some(config) = view.config else {
             self.hold(id, Reason::NoOwner, now, out);
@@ -289,11 +291,12 @@
         let except: Vec<NodeAddr> = avoid.into_iter().chain(barred).collect();
         match self.choose(id, &except, now) {
             None => self.hold(id, Reason::NoOwner, now, out),
-            Some(to) if to == here => {
-                self.place_here(id, spec, view, now, out);
-            }
             Some(to) => {
-                self.forward(id, to, now, out);
+                if to == here {
+                    self.place_here(id, spec, view, now, out);
+                } else {
+                    self.forward(id, to, now, out);
+                }
                 self.plan_hedge(id, spec, now);
             }
         }
@@ -368,6 +371,9 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
+        if self.go_on(id) {
+            return;
+        }
         let full = self.waiting.len() >= WAITING_MAX;
         let entry = &mut self.entries[id];
         if full || entry.head.source == Source::Peer {
@@ -394,6 +400,10 @@
         let entry = &mut self.entries[id];
         let not_run = refusal.verdict == Verdict::NotRun;
         entry.ran |= !not_run;
+        if self.go_on(id) {
+            return;
+        }
+        let entry = &mut self.entries[id];
         let safe = not_run || entry.head.idempotent;
         if entry.head.source == Source::Peer || !safe {
             self.refuse(id, refusal, out);
@@ -442,7 +452,7 @@
     }
 
     /// Ends the bookkeeping of a request that was placed here by choice.
-    fn unchoose(&mut self, id: usize) {
+    pub(super) fn unchoose(&mut self, id: usize) {
         if self.entries[id].chosen.take().is_some() {
             self.chooser.ended(self.local.addr);
         }
@@ -525,17 +535,8 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        let entry = &mut self.entries[id];
-        let ticket = entry.head.ticket;
-        match entry.phase {
-            Phase::Running { .. } => {
-                entry.ran = true;
-                out.push(Effect::AbortUpstream { ticket });
-                self.leave_upstream(id, Some(Sample::Cancelled), now);
-            }
-            Phase::Forwarded { .. } => self.abort_attempts(id, now, out),
-            Phase::Waiting { .. } | Phase::Queued => {}
-        }
+        self.abort_run(id, now, out);
+        self.abort_attempts(id, now, out);
         let ran = self.entries[id].ran;
         let reason = match reason {
             Reason::DeadlineBefore if ran => Reason::DeadlineAfter,
@@ -554,6 +555,9 @@
         mut refusal: Refusal,
         out: &mut Vec<Effect>,
     ) {
+        if self.go_on(id) {
+            return;
+        }
         let entry = self.finish(id);
         if entry.ran {
             refusal.verdict = Verdict::MayHaveRun;
--- a/crates/core/src/request/forward.rs
+++ b/crates/core/src/request/forward.rs
@@ -139,7 +139,7 @@
         Attempt { number, to, since: now }
     }
 
-    /// Plans a hedge of a request that was just forwarded.
+    /// Plans a hedge of a request that was just sent to a member.
     pub(super) fn plan_hedge(
         &mut self,
         id: usize,
@@ -148,8 +148,8 @@
     ) {
         // The request may have ended at its deadline.
         let Some(entry) = self.entries.get(id) else { return };
-        let forwarded = matches!(entry.phase, Phase::Forwarded { .. });
-        if !spec.hedge || !entry.head.idempotent || !forwarded {
+        let waits = matches!(entry.phase, Phase::Waiting { .. });
+        if !spec.hedge || !entry.head.idempotent || waits {
             return;
         }
         self.hedge_budget.earn();
@@ -180,14 +180,17 @@
             self.hedges.pop_first();
             let entry = &mut self.entries[id];
             entry.hedge_due = None;
-            let Phase::Forwarded { attempt } = entry.phase else { continue };
+            let first = match entry.phase {
+                Phase::Forwarded { attempt } => attempt.to,
+                Phase::Running { .. } | Phase::Queued => self.local.addr,
+                Phase::Waiting { .. } => continue,
+            };
             let last = entry.attempts == u8::MAX || entry.deadline <= now;
             if last || entry.hedge.is_some() {
                 continue;
             }
-            // The answer of an attempt here could not be told from that of
-            // an attempt at a peer.
-            let except = [attempt.to, self.local.addr];
+            // An entry has one phase, so a second attempt is at a peer.
+            let except = [first, self.local.addr];
             let to = self.choose(id, &except, now);
             let Some(to) = to else { continue };
             if !self.hedge_budget.spend() {
@@ -210,18 +213,11 @@
         let Some(&id) = self.tickets.get(&ticket) else { return };
         let entry = &mut self.entries[id];
         let Some(attempt) = entry.take_attempt(number, now) else { return };
-        let to = attempt.to;
         match outcome {
             Outcome::Answered { .. } => {
-                if !entry.keyed {
-                    let latency = now.since(attempt.since);
-                    self.chooser.answered(to, latency, now);
-                    let service = &entry.head.service;
-                    if let Some(known) = self.services.get_mut(service) {
-                        known.slow.record(latency, now);
-                    }
-                }
+                self.note_answer(id, attempt, now);
                 self.abort_attempts(id, now, out);
+                self.abort_run(id, now, out);
                 let entry = self.finish(id);
                 self.close(&entry, End::MayHaveRun, out);
                 // The owner named its scope in the forwarded answer.
@@ -230,19 +226,46 @@
             }
             Outcome::Failed(refusal) => {
                 if !entry.keyed {
-                    self.chooser.failed(to, now);
+                    self.chooser.failed(attempt.to, now);
                 }
-                if matches!(entry.phase, Phase::Forwarded { .. }) {
-                    // The other attempt goes on.
-                    entry.ran |= refusal.verdict == Verdict::MayHaveRun;
+                if matches!(entry.phase, Phase::Waiting { .. }) {
+                    entry.avoid = Some(attempt.to);
+                    self.failed(id, refusal, view, now, out);
                     return;
                 }
-                entry.avoid = Some(to);
-                self.failed(id, refusal, view, now, out);
+                // The other attempt goes on.
+                entry.ran |= refusal.verdict == Verdict::MayHaveRun;
             }
         }
     }
 
+    /// Learns from the answer to an attempt.
+    pub(super) fn note_answer(
+        &mut self,
+        id: usize,
+        attempt: Attempt,
+        now: Millis,
+    ) {
+        let entry = &self.entries[id];
+        if entry.keyed {
+            return;
+        }
+        let latency = now.since(attempt.since);
+        self.chooser.answered(attempt.to, latency, now);
+        if let Some(known) = self.services.get_mut(&entry.head.service) {
+            known.slow.record(latency, now);
+        }
+    }
+
+    /// Lets the second attempt go on alone, if there is one.
+    pub(super) fn go_on(&mut self, id: usize) -> bool {
+        let entry = &mut self.entries[id];
+        let Some(attempt) = entry.hedge.take() else { return false };
+        entry.phase = Phase::Forwarded { attempt };
+        self.unchoose(id);
+        true
+    }
+
     /// Stops waiting for all attempts of a request at peers.
     pub(super) fn abort_attempts(
         &mut self,
--- a/crates/core/tests/requests/main.rs
+++ b/crates/core/tests/requests/main.rs
@@ -4,4 +4,5 @@
 mod flow;
 mod members;
 mod poison;
+mod random;
 mod support;
--- a/crates/core/tests/requests/members.rs
+++ b/crates/core/tests/requests/members.rs
@@ -75,7 +75,7 @@
 }
 
 /// 400 requests that take 10 ms, so that the 95th percentile is known.
-fn known_latency(bed: &mut Bed) {
+pub fn known_latency(bed: &mut Bed) {
     for ticket in 1_000..1_400 {
         bed.arrive(any(get(ticket)));
         bed.now += 10;
@@ -115,15 +115,17 @@
 }
 
 #[test]
-fn the_deadline_ends_both_attempts() {
-    let mut bed = ingress(&[1, 2]);
-    known_latency(&mut bed);
-    bed.arrive(any(Arrival { budget: 50, ..get(1) }));
-    bed.tick_after(11);
-    let out = brief(&bed.tick_after(50));
-    let expected =
-        ["abort 1/0", "abort 1/1", "refuse 1 deadline-after MayHaveRun"];
-    assert_eq!(out, expected);
+fn deadlines_and_departed_callers_end_both_attempts() {
+    for cancelled in [false, true] {
+        let mut bed = ingress(&[1, 2]);
+        known_latency(&mut bed);
+        bed.arrive(any(Arrival { budget: 50, ..get(1) }));
+        bed.tick_after(11);
+        let out = if cancelled { bed.cancel(1) } else { bed.tick_after(50) };
+        let reason = if cancelled { "cancelled" } else { "deadline-after" };
+        let refused = format!("refuse 1 {reason} MayHaveRun");
+        assert_eq!(brief(&out), ["abort 1/0", "abort 1/1", &refused]);
+    }
 }
 
 /// Hedges of a service that is slow as a whole would double its load.
@@ -139,3 +141,74 @@
     assert!((20..=30).contains(&hedges), "5% of 400 and 10: {hedges}");
     assert_eq!(bed.requests.load(Millis(bed.now)).busy, 0);
 }
+
+/// A node beside a member that has request 1 at its own upstream and a
+/// second attempt at node 1.
+fn hedged_from_here() -> Bed {
+    let mut bed = Bed::new();
+    let text = r#"{"operator": "jutland", "domains": {}, "services": {
+        "katalog": {"keyed": false, "hedge": true}}}"#;
+    bed.config = Some(serde_json::from_str(text).unwrap());
+    bed.routes.members = vec![member(0), member(1)];
+    for ticket in 1_000..1_400 {
+        bed.arrive(get(ticket));
+        bed.now += 10;
+        bed.peer(ticket, 0, answered());
+    }
+    bed.group.lease = Some(Millis(60_000));
+    // Node 0 has no latency yet and looks better.
+    assert_eq!(brief(&bed.arrive(get(1))), ["dispatch 1"]);
+    assert_eq!(brief(&bed.tick_after(11)), ["forward 1/0 1"]);
+    bed
+}
+
+/// The own upstream may be the straggler.
+#[test]
+fn a_request_at_the_own_upstream_is_hedged() {
+    let mut bed = hedged_from_here();
+    let expected = ["abort 1", "answer 1/0"];
+    assert_eq!(brief(&bed.peer(1, 0, answered())), expected);
+    assert!(bed.requests.is_empty());
+    assert_eq!(bed.requests.load(Millis(bed.now)).busy, 0);
+
+    let mut bed = hedged_from_here();
+    let expected = ["abort 1/0", "answer 1/0"];
+    assert_eq!(brief(&bed.upstream(1, answered())), expected);
+    assert!(bed.requests.is_empty());
+
+    let mut bed = hedged_from_here();
+    assert!(bed.upstream(1, failed(Reason::ConnectionLost)).is_empty());
+    assert_eq!(brief(&bed.peer(1, 0, answered())), ["answer 1/0"]);
+
+    let mut bed = hedged_from_here();
+    assert!(bed.peer(1, 0, failed(Reason::ConnectionLost)).is_empty());
+    let out = bed.upstream(1, failed(Reason::Poisoned));
+    assert_eq!(brief(&out), ["refuse 1 poisoned MayHaveRun"]);
+
+    let mut bed = hedged_from_here();
+    let expected =
+        ["abort 1", "abort 1/0", "refuse 1 deadline-after MayHaveRun"];
+    assert_eq!(brief(&bed.tick_after(5_000)), expected);
+}
+
+/// Being shed here must not end a request that runs elsewhere.
+#[test]
+fn a_hedge_outlives_the_place_in_the_queue() {
+    let mut bed = hedged_from_here();
+    bed.routes.members = vec![member(0)];
+    bed.now += 100;
+    for ticket in 2..18 {
+        let budget = 10_000 - ticket;
+        let partner = Some("heavy".into());
+        let heavy = Arrival { budget, partner, ..get(ticket) };
+        assert!(bed.arrive(heavy).is_empty(), "it is queued");
+    }
+    bed.routes.members = vec![member(0), member(1)];
+    bed.now += 100;
+    let out = brief(&bed.arrive(get(20)));
+    assert!(out.contains(&"forward 2/0 1".into()), "{out:?}");
+    bed.routes.members = vec![member(0)];
+    bed.now += 100;
+    assert!(bed.arrive(get(21)).is_empty(), "it takes the place of 2");
+    assert_eq!(brief(&bed.peer(2, 0, answered())), ["answer 2/0"]);
+}
