--- a/crates/core/src/request/dispatch.rs
+++ b/crates/core/src/request/dispatch.rs
@@ -277,8 +277,10 @@
         match outcome {
             Outcome::Answered { .. } => self.suspects.passed(print, now),
             Outcome::Failed(refusal) => {
-                let known = matches!(entry.phase, Phase::Running { suspect, .. }
-                        if suspect);
+                let known = match entry.phase {
+                    Phase::Running { suspect, .. } => suspect,
+                    _ => false,
+                };
                 if refusal.verdict == Verdict::MayHaveRun && !known {
                     self.suspects.lost(print, now);
                 }
--- a/crates/core/tests/requests/support.rs
+++ b/crates/core/tests/requests/support.rs
@@ -156,7 +156,8 @@
             slots: SLOTS,
         };
         let text = r#"{"operator": "jutland", "domains": {}, "services": {
-            "katalog": {"keyed": true}, "udlaan": {"keyed": false, "hedge": true}}}"#;
+            "katalog": {"keyed": true},
+            "udlaan": {"keyed": false, "hedge": true}}}"#;
         Self {
             requests: Requests::new(local, 1, Millis(0)),
             group: FakeGroup {
