Do not choose members by their limits

A member's limit grows only with use, and the score divided by it: in a trial of the choice example with one member in its cold start, that member still had a limit of 3 after 10 s and served 13 requests a second, while others served about 2,900.

A failed request of a service without keys reports its members as out of date at most every 100 ms, since each report concerns all groups.

--- a/crates/core/src/request/choose.rs
+++ b/crates/core/src/request/choose.rs
@@ -1,10 +1,12 @@
 //! Which member serves a request of a service without keys.
 //!
 //! Of two random members, the one with the lower score is chosen: average
-//! latency as this ingress sees it, times its own outstanding requests per
-//! slot of the member's limit. Outstanding requests rise as soon as a member
-//! slows down, whereas reported load shows it late. Members in the ingress's
-//! own failure domain go first as long as they are not much worse.
+//! latency as this ingress sees it, times its own outstanding requests.
+//! Outstanding requests rise as soon as a member slows down, whereas
+//! reported load shows it late. Members in the ingress's own failure domain
+//! go first as long as they are not much worse. A member's limit has no part
+//! in its score: it grows only with use, so a member that is chosen by its
+//! limit would never leave its cold start.
 //!
 //! # Example
 //!
@@ -192,14 +194,13 @@
     }
 
     fn score(&self, member: &MapMember, now: Millis) -> f64 {
-        let limit = f64::from(member.limit.max(1));
         let Some(peer) = self.peers.get(&member.addr) else {
-            return UNKNOWN / limit;
+            return UNKNOWN;
         };
         let latency = decayed(peer.latency, now.since(peer.seen));
         let shunned = now < peer.shun;
         let factor = if shunned { SHUN_FACTOR } else { 1.0 };
-        latency * f64::from(peer.outstanding + 1) / limit * factor
+        latency * f64::from(peer.outstanding + 1) * factor
     }
 
     fn better_of_two(
--- a/crates/core/src/request/flow.rs
+++ b/crates/core/src/request/flow.rs
@@ -231,7 +231,7 @@
             Err(reason) => reason,
         };
         if reason == Reason::Poisoned {
-            self.refuse(id, Refusal::new(reason, why(reason)), out);
+            self.refuse(id, poisoned(), out);
             return;
         }
         if entry.head.source == Source::Peer || reason == Reason::Moving {
@@ -264,19 +264,21 @@
         self.entries[id].keyed = false;
         let entry = &self.entries[id];
         let permit = self.permit(&entry.head, spec, view, now);
-        if permit == Err(Reason::Poisoned) {
-            let detail = why(Reason::Poisoned);
-            self.refuse(id, Refusal::new(Reason::Poisoned, detail), out);
-            return;
-        }
         let own = permit.is_ok();
-        if entry.head.source == Source::Peer {
-            if own {
+        match permit {
+            Err(Reason::Poisoned) => {
+                self.refuse(id, poisoned(), out);
+                return;
+            }
+            Ok(_) if entry.head.source == Source::Peer => {
                 self.admit_or_refuse(id, spec, None, now, out);
-            } else {
-                self.hold(id, Reason::NotOwner, now, out);
+                return;
             }
-            return;
+            Err(reason) if entry.head.source == Source::Peer => {
+                self.hold(id, reason, now, out);
+                return;
+            }
+            _ => {}
         }
         let scope = entry.scope().map(parse_scope);
         let avoid = entry.avoid;
@@ -474,10 +476,12 @@
         let head = &entry.head;
         let spec = view.config.and_then(|c| c.services.get(&head.service));
         let Some(spec) = spec else { return };
-        view.routes.stale(&head.service, spec, head.key, now, out);
-        if let Some(known) = self.services.get_mut(&head.service) {
-            known.expire();
+        if let Some(known) = self.services.get_mut(&head.service)
+            && !known.expire(now)
+        {
+            return;
         }
+        view.routes.stale(&head.service, spec, head.key, now, out);
     }
 
     /// Lets a caller's request wait for a condition of this node to pass;
@@ -618,12 +622,16 @@
     refusal
 }
 
+fn poisoned() -> Refusal {
+    let detail = "requests like this one crashed upstreams";
+    Refusal::new(Reason::Poisoned, detail)
+}
+
 fn why(reason: Reason) -> &'static str {
     match reason {
         Reason::Moving => "the key's shard is moving to another node",
         Reason::NotOwner => "this node does not own the key",
         Reason::ConnectFailed => "the upstream is down",
-        Reason::Poisoned => "requests like this one crashed upstreams",
         _ => "no node owns the key at present",
     }
 }
--- a/crates/core/src/request/forward.rs
+++ b/crates/core/src/request/forward.rs
@@ -28,16 +28,23 @@
 pub(super) struct Known {
     pub(super) roster: Roster,
     slow: SlowTime,
+    /// When the members were last found to be out of date.
+    stale: Millis,
 }
 
 /// Services without keys, by name.
 pub(super) type Services = HashMap<String, Known>;
 
 impl Known {
-    /// Has the members read again for the next request.
-    pub(super) fn expire(&mut self) {
-        let members = Vec::new();
-        self.roster = Roster::new(members, 0, self.roster.at);
+    /// Has the members read again for the next request, unless this was
+    /// done shortly before: each time concerns all groups of the service.
+    pub(super) fn expire(&mut self, now: Millis) -> bool {
+        if now.since(self.stale) < ROSTER_AGE {
+            return false;
+        }
+        self.stale = now;
+        self.roster = Roster::new(Vec::new(), 0, self.roster.at);
+        true
     }
 }
 
@@ -69,7 +76,8 @@
             return;
         }
         let slow = SlowTime::new(now);
-        self.services.insert(service.clone(), Known { roster, slow });
+        let known = Known { roster, slow, stale: Millis(0) };
+        self.services.insert(service.clone(), known);
     }
 
     /// Chooses a member for a request, none of `except`.
--- a/crates/core/tests/requests/members.rs
+++ b/crates/core/tests/requests/members.rs
@@ -212,3 +212,16 @@
     assert!(bed.arrive(get(21)).is_empty(), "it takes the place of 2");
     assert_eq!(brief(&bed.peer(2, 0, answered())), ["answer 2/0"]);
 }
+
+/// Members are out of date for all groups of a service at once.
+#[test]
+fn failures_do_not_read_the_members_again_and_again() {
+    let mut bed = ingress(&[1, 2, 3]);
+    bed.now = 1_000;
+    for ticket in 0..50 {
+        bed.now += 1;
+        bed.arrive(any(get(ticket)));
+        bed.peer(ticket, 0, failed(Reason::NotOwner));
+    }
+    assert_eq!(bed.routes.stale, 1);
+}
