--- a/crates/bench/src/experiments.rs
+++ b/crates/bench/src/experiments.rs
@@ -132,9 +132,14 @@
     }
 }
 
-/// Adds the latency of `samples` beside that of a baseline.
+/// Adds the latency of the answered `samples`, and the number of others,
+/// beside those of a baseline.
 fn add_latency(report: &mut Report, samples: &[Sample], base: &[Sample]) {
     let (ours, theirs) = (latency(samples), latency(base));
+    let unanswered =
+        |s: &[Sample]| (s.len() - count(s, Told::Answered)) as f64;
+    let (refused, base_refused) = (unanswered(samples), unanswered(base));
+    report.compare("requests not answered", refused, "", base_refused);
     report.compare("latency p50", ours.p50, "ms", theirs.p50);
     report.compare("latency p99", ours.p99, "ms", theirs.p99);
 }
--- a/crates/bench/src/experiments/loss.rs
+++ b/crates/bench/src/experiments/loss.rs
@@ -4,12 +4,13 @@
 use std::io;
 
 use http::Method;
+use lagoondyke_core::verdict::Reason;
 use lagoondyke_standin::time::monotonic_ms;
 
 use super::{CONFIG_IN_FORCE, Context, SERVED_AGAIN, add_truth, wait_until};
 use crate::check::{faults, longest_unserved};
 use crate::cluster::{Cluster, Plan, call};
-use crate::load::{Load, Told, count};
+use crate::load::{Load, Told, count, reasons};
 use crate::report::{Bound, Report};
 
 /// Which members are lost.
@@ -94,6 +95,9 @@
         let value = count(&samples, told) as f64;
         report.show(format!("{name}: {text}"), value, "");
     }
+    for (reason, count) in reasons(&samples) {
+        report.note(format!("{name}: {count} times: {reason}"));
+    }
     Ok(())
 }
 
@@ -163,18 +167,7 @@
     let (mut crashes, mut refused) = (0, 0);
     for attempt in 0..ATTEMPTS {
         wait_until(start, 1_000 + attempt as u64 * 500);
-        let headers = [
-            ("lagoondyke-service", "vendor-portal"),
-            ("lagoondyke-key", "key-0"),
-            ("lagoondyke-deadline", "2000"),
-            ("x-crash", "MARK"),
-        ];
-        let nodes = cluster.nodes();
-        let addr = nodes[attempt % nodes.len()];
-        let answer = call(addr, Method::PUT, "/crash", &headers, "poison");
-        refused += usize::from(answer.is_ok_and(|reply| {
-            String::from_utf8_lossy(&reply.body).contains("poison")
-        }));
+        refused += usize::from(crash_attempt(&cluster, attempt));
         crashes += restart_crashed(&mut cluster)?;
     }
     let samples = running.join()?;
@@ -190,6 +183,23 @@
     Ok(report)
 }
 
+/// Sends the request that crashes upstreams; true if it was refused because
+/// it does.
+fn crash_attempt(cluster: &Cluster, attempt: usize) -> bool {
+    let headers = [
+        ("lagoondyke-service", "vendor-portal"),
+        ("lagoondyke-key", "key-0"),
+        ("lagoondyke-deadline", "2000"),
+        ("x-crash", "MARK"),
+    ];
+    let nodes = cluster.nodes();
+    let addr = nodes[attempt % nodes.len()];
+    let answer = call(addr, Method::PUT, "/crash", &headers, "crash");
+    answer.is_ok_and(|reply| {
+        String::from_utf8_lossy(&reply.body).contains(Reason::Poisoned.name())
+    })
+}
+
 /// Starts crashed upstreams again and returns how many there were.
 fn restart_crashed(cluster: &mut Cluster) -> io::Result<usize> {
     let mut crashed = 0;
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -2,10 +2,11 @@
 
 use std::ffi::OsStr;
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 /// Pause between two attempts to connect to a starting program.
@@ -167,11 +168,33 @@
     }
 }
 
-/// A loopback address with a port that was free a moment ago.
+/// First port that [`free_addr`] gives out. The kernel takes the ports of
+/// outgoing connections from 32768 up: a port from there may be taken again
+/// before its program starts, or connect to itself.
+const PORT_FIRST: u16 = 16_000;
+
+/// Number of ports that [`free_addr`] gives out.
+const PORT_COUNT: u16 = 16_000;
+
+/// Ports given out by this process.
+static PORTS: AtomicU16 = AtomicU16::new(0);
+
+/// A loopback address with a port that was free for TCP and UDP a moment
+/// ago. No port is given out twice by one process, until all have been.
 ///
 /// # Errors
 ///
-/// Returns the operating system's error if no port is free.
+/// Returns an error if no port is free.
 pub fn free_addr() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    // Processes that run at the same time start far from each other.
+    let offset = (std::process::id().wrapping_mul(977)) as u16;
+    for _ in 0..PORT_COUNT {
+        let number = PORTS.fetch_add(1, Ordering::Relaxed);
+        let port = PORT_FIRST + offset.wrapping_add(number) % PORT_COUNT;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
+            return Ok(addr);
+        }
+    }
+    Err(io::Error::new(io::ErrorKind::AddrInUse, "no port is free"))
 }
