--- a/crates/bench/src/experiments/cost.rs
+++ b/crates/bench/src/experiments/cost.rs
@@ -20,7 +20,7 @@
 const SATURATION: u64 = 6_000;
 
 /// Rounds of the latency measurement, an odd number.
-const ROUNDS: usize = 9;
+const ROUNDS: usize = 15;
 
 /// Forwarded requests per second that a node must carry.
 const FORWARDED: f64 = 25_000.0;
@@ -31,7 +31,7 @@
     let plan = plan();
     let load = Load {
         rate: NODE_RATE,
-        span: context.span(2_000),
+        span: context.span(1_000),
         keys: (0..1_000).collect(),
         posts: false,
         service: plan.service.to_owned(),
@@ -170,7 +170,13 @@
 
 /// Answers per second of a closed loop, and its latency.
 fn closed(load: &Load) -> io::Result<(f64, Latency)> {
-    let load = Load { rate: 0.0, workers: 48, threads: 2, ..load.clone() };
+    let load = Load {
+        rate: 0.0,
+        workers: 48,
+        threads: 2,
+        span: SATURATION,
+        ..load.clone()
+    };
     let samples = load.run()?;
     let answered = count(&samples, Told::Answered) as f64;
     Ok((answered * 1_000.0 / load.span as f64, latency(&samples)))
