--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -10,6 +10,7 @@
 use local_sync::mpsc::unbounded::{self, Tx};
 use monoio::net::udp::UdpSocket;
 
+use crate::metrics::Metrics;
 use crate::ports::Control;
 use crate::shell::Shell;
 
@@ -17,6 +18,7 @@
 pub struct Udp {
     socket: Rc<UdpSocket>,
     queue: Tx<(NodeAddr, Vec<u8>)>,
+    metrics: Rc<Metrics>,
 }
 
 impl fmt::Debug for Udp {
@@ -33,7 +35,10 @@
     /// # Errors
     ///
     /// Returns an error if the socket cannot be registered with the driver.
-    pub fn new(socket: std::net::UdpSocket) -> io::Result<Self> {
+    pub fn new(
+        socket: std::net::UdpSocket,
+        metrics: Rc<Metrics>,
+    ) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
         let socket = Rc::new(UdpSocket::from_std(socket)?);
         let (queue, mut due) = unbounded::channel::<(NodeAddr, Vec<u8>)>();
@@ -44,7 +49,7 @@
                 let _ = sender.send_to(bytes, to.0).await;
             }
         });
-        Ok(Self { socket, queue })
+        Ok(Self { socket, queue, metrics })
     }
 
     /// Passes arriving datagrams to `shell` until the process ends.
@@ -67,6 +72,7 @@
 }
 
 fn receive(shell: &Shell, from: NodeAddr, bytes: &[u8]) {
+    shell.metrics().received(bytes.len());
     match Message::decode(bytes) {
         Ok(message) => shell.post(Event::Datagram { from, message }),
         Err(error) => shell.malformed("control", &error),
@@ -76,6 +82,7 @@
 impl Control for Udp {
     fn send(&self, to: NodeAddr, message: &Message) {
         let Ok(bytes) = message.encode() else { return };
+        self.metrics.sent(bytes.len());
         let _ = self.queue.send((to, bytes));
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod logs;
 pub mod message;
+pub mod metrics;
 pub mod ops;
 pub mod peer_server;
 pub mod peers;
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -3,13 +3,15 @@
 use lagoondyke_core::effect::Notice;
 use lagoondyke_core::settings::{LogFormat, LogLevel, LogSettings};
 use slog::{Drain, Level, Logger, o};
+use slog_async::AsyncGuard;
 
 /// Lines that wait for the terminal or pipe; further ones are dropped, so
 /// that a blocked reader of the log never blocks the loop.
 const QUEUE: usize = 4_096;
 
-/// A logger to standard error. Lines are written by a thread of its own.
-pub fn logger(settings: &LogSettings) -> Logger {
+/// A logger to standard error. Lines are written by a thread of its own;
+/// dropping the guard writes those that wait.
+pub fn logger(settings: &LogSettings) -> (Logger, AsyncGuard) {
     let level = match settings.level {
         LogLevel::Debug => Level::Debug,
         LogLevel::Info => Level::Info,
@@ -29,16 +31,16 @@
     }
 }
 
-fn start<D>(drain: D, level: Level) -> Logger
+fn start<D>(drain: D, level: Level) -> (Logger, AsyncGuard)
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
-    let drain = slog_async::Async::new(drain)
+    let (drain, guard) = slog_async::Async::new(drain)
         .chan_size(QUEUE)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .build();
+        .build_with_guard();
     let drain = drain.filter_level(level).fuse();
-    Logger::root(drain, o!())
+    (Logger::root(drain, o!()), guard)
 }
 
 /// A logger that discards all lines.
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -50,7 +50,7 @@
 
 fn serve(mut settings: Settings) -> std::io::Result<i32> {
     let signals = Signals::new()?;
-    let log = logs::logger(&settings.log);
+    let (log, _guard) = logs::logger(&settings.log);
     let mut runtime =
         RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
     runtime.block_on(async move {
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -33,6 +33,11 @@
             respond(StatusCode::OK, "text/plain", "running\n")
         }
         "/lagoondyke/ready" if get => ready(shell),
+        "/metrics" if get => {
+            shell.sample();
+            let text = shell.metrics().render();
+            respond(StatusCode::OK, "text/plain; version=0.0.4", text)
+        }
         "/lagoondyke/drain" if head.method == Method::PUT => {
             shell.stop();
             respond(StatusCode::ACCEPTED, "text/plain", "draining\n")
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -14,6 +14,7 @@
 
 use crate::clock;
 use crate::control::Udp;
+use crate::metrics::Metrics;
 use crate::peer_server;
 use crate::peers::TcpPeers;
 use crate::serve;
@@ -83,8 +84,9 @@
 ) -> io::Result<Shell> {
     let incarnation = Incarnation(rand::random());
     let node = Node::new(&settings, incarnation, rand::random(), clock::now());
-    let control = Udp::new(sockets.control)?;
-    let control = Rc::new(control);
+    let metrics = Metrics::new().map_err(io::Error::other)?;
+    let metrics = Rc::new(metrics);
+    let control = Rc::new(Udp::new(sockets.control, Rc::clone(&metrics))?);
     let name = settings.addr.to_string();
     let ports = Ports {
         store: Rc::new(HttpStore::new(settings.store)),
@@ -95,7 +97,7 @@
     slog::info!(log, "node starts";
         "addr" => %settings.addr, "listen" => %settings.listen,
         "incarnation" => incarnation.0);
-    let shell = Shell::new(settings, node, ports, log);
+    let shell = Shell::new(settings, node, ports, log, metrics);
     control.listen(&shell);
     peer_server::listen(sockets.peers, &shell);
     serve::listen(sockets.callers, &shell);
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -8,10 +8,11 @@
 use std::collections::{HashMap, VecDeque};
 use std::fmt;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use lagoondyke_core::clock::{Millis, TICK};
-use lagoondyke_core::effect::{Effect, StoreOp};
+use lagoondyke_core::control::Control;
+use lagoondyke_core::effect::{Effect, Notice, StoreOp};
 use lagoondyke_core::event::{Event, Outcome, Source};
 use lagoondyke_core::id::{CallId, Fence, NodeAddr, Shard, Ticket};
 use lagoondyke_core::node::Node;
@@ -25,9 +26,8 @@
 use crate::clock;
 use crate::logs;
 use crate::message::{Answer, Call, Reply};
-use crate::ports::{
-    Control, Dispatch, Forward, Local, Peers, Store, Upstream,
-};
+use crate::metrics::{HopKind, Metrics, SAMPLE, store_kind};
+use crate::ports::{self, Dispatch, Forward, Local, Peers, Store, Upstream};
 
 /// Takes the reply of a request; called once.
 pub type Done = Box<dyn FnOnce(Reply)>;
@@ -41,7 +41,7 @@
     /// Other nodes, for requests and documents.
     pub peers: Rc<dyn Peers>,
     /// Other nodes, for control datagrams.
-    pub control: Rc<dyn Control>,
+    pub control: Rc<dyn ports::Control>,
 }
 
 impl fmt::Debug for Ports {
@@ -62,6 +62,7 @@
     name: String,
     ports: Ports,
     log: Logger,
+    metrics: Rc<Metrics>,
     node: RefCell<Node>,
     queue: RefCell<VecDeque<Event>>,
     running: Cell<bool>,
@@ -78,6 +79,8 @@
 struct Entry {
     generation: u32,
     call: Rc<Call>,
+    source: Source,
+    since: Instant,
     done: Option<Done>,
     hops: Vec<Attempt>,
 }
@@ -123,12 +126,14 @@
         node: Node,
         ports: Ports,
         log: Logger,
+        metrics: Rc<Metrics>,
     ) -> Self {
         let inner = Inner {
             name: settings.addr.to_string(),
             settings,
             ports,
             log,
+            metrics,
             node: RefCell::new(node),
             queue: RefCell::default(),
             running: Cell::new(false),
@@ -225,20 +230,44 @@
         }
     }
 
+    /// The node's metrics.
+    #[must_use]
+    pub fn metrics(&self) -> &Metrics {
+        &self.inner.metrics
+    }
+
     /// Counts input that could not be decoded.
-    pub fn malformed(&self, socket: &str, error: &dyn fmt::Display) {
+    pub fn malformed(&self, socket: &'static str, error: &dyn fmt::Display) {
+        self.inner.metrics.malformed(socket);
         slog::debug!(self.inner.log, "malformed input";
             "socket" => socket, "error" => error.to_string());
     }
 
+    /// Samples the node's state for the metrics.
+    pub fn sample(&self) {
+        let now = clock::now();
+        let inner = &self.inner;
+        let node = inner.node.borrow();
+        let services = node.config().map(|config| &config.services);
+        let own = services.and_then(|all| all.get(&inner.settings.service));
+        let led = own.map_or(0, |spec| spec.shards / spec.groups.max(1));
+        inner.metrics.sample(&node.status(now), usize::from(led), now);
+        inner.metrics.outstanding(self.outstanding());
+    }
+
     /// Delivers ticks, and reports of the upstream, until the node exits.
     pub async fn run(&self, mut poll: impl FnMut(&Self)) {
         let shell = self.clone();
         let report = Rc::new(move |event| shell.post(event));
         self.inner.ports.upstream.watch(report);
+        let mut sampled = Instant::now();
         while !self.has_exited() {
             poll(self);
             self.post(Event::Tick);
+            if sampled.elapsed() >= SAMPLE {
+                sampled = Instant::now();
+                self.sample();
+            }
             monoio::time::sleep(Duration::from_millis(TICK)).await;
         }
     }
@@ -251,6 +280,8 @@
         let entry = Entry {
             generation,
             call: Rc::clone(&call),
+            source,
+            since: Instant::now(),
             done: Some(done),
             hops: Vec::new(),
         };
@@ -301,6 +332,11 @@
     fn perform(&self, effect: Effect) {
         match effect {
             Effect::Send { to, message } => {
+                if let Control::Lease(lease) = &message
+                    && let Some(plan) = &lease.plan
+                {
+                    self.inner.metrics.planned(to, plan);
+                }
                 self.inner.ports.control.send(to, &message);
             }
             Effect::Store { call, op } => self.store(call, op),
@@ -308,7 +344,12 @@
             Effect::Grant { shards, until } => {
                 self.inner.ports.upstream.grant(shards, until);
             }
-            Effect::Notice(notice) => logs::notice(&self.inner.log, &notice),
+            Effect::Notice(notice) => {
+                if let Notice::LeaseEnded { shards } = notice {
+                    self.inner.metrics.lease_ended(shards);
+                }
+                logs::notice(&self.inner.log, &notice);
+            }
             Effect::Exit => self.inner.exited.set(true),
             request => self.perform_request(request),
         }
@@ -346,10 +387,12 @@
     }
 
     fn store(&self, call: CallId, op: StoreOp) {
+        let kind = store_kind(&op);
         let answer = self.inner.ports.store.call(op);
         let shell = self.clone();
         monoio::spawn(async move {
             let outcome = answer.await;
+            shell.inner.metrics.store(kind, &outcome);
             shell.post(Event::Stored { call, outcome });
         });
     }
@@ -427,11 +470,19 @@
         let attempt = Attempt { hop, serial, abort, answer: None };
         self.with(ticket, |entry| entry.hops.push(attempt));
         let shell = self.clone();
+        let since = Instant::now();
+        let kind = match hop {
+            Hop::Peer(_) => HopKind::Peer,
+            Hop::Upstream => HopKind::Upstream,
+        };
         monoio::spawn(async move {
             monoio::select! {
                 biased;
                 _ = aborted => {}
-                reply = reply => shell.attempt_done(ticket, serial, reply),
+                reply = reply => {
+                    shell.inner.metrics.hop(kind, since);
+                    shell.attempt_done(ticket, serial, reply);
+                }
             }
         });
     }
@@ -492,6 +543,7 @@
         }
         let (_, index) = parts(ticket);
         let entry = self.inner.requests.borrow_mut().remove(index);
+        self.inner.metrics.ended(entry.source, &reply, entry.since);
         if let Some(done) = entry.done {
             done(reply);
         }
