--- /dev/null
+++ b/crates/node/tests/process.rs
@@ -0,0 +1,159 @@
+//! A node as a process: stopping, and the check of its settings.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::Duration;
+
+use http::Method;
+use lagoondyke_core::status::Status;
+use lagoondyke_standin::client::call_once;
+use lagoondyke_standin::process::{Process, free_addr};
+use lagoondyke_standin::{block_on, store, upstream};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_lagoondyked");
+
+/// Time for a call; far longer than any takes.
+const LIMIT: u64 = 60_000;
+
+const CONFIG: &str = "{\"operator\":\"o\",\"domains\":{\"d\":{}},\
+    \"services\":{\"s\":{\"keyed\":true,\"shards\":8}}}";
+
+const HEADERS: [(&str, &str); 3] = [
+    ("lagoondyke-service", "s"),
+    ("lagoondyke-key", "k"),
+    ("lagoondyke-deadline", "60000"),
+];
+
+struct Node {
+    process: Process,
+    callers: SocketAddr,
+    file: PathBuf,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// Starts a node with its own store, and waits until it holds a lease.
+async fn node(upstream: SocketAddr) -> Node {
+    let store = store::start(0).expect("store");
+    let name = "/objects/config/o";
+    let create = [("if-none-match", "*")];
+    let put = call_once(store, Method::PUT, name, &create, CONFIG, LIMIT);
+    assert!(put.await.expect("store").ok());
+    let (addr, callers) = (free_addr().unwrap(), free_addr().unwrap());
+    let text = format!(
+        "{{\"addr\":\"{addr}\",\"listen\":\"{callers}\",\"domain\":\"d\",\
+         \"operator\":\"o\",\"service\":\"s\",\"store\":\"{store}\",\
+         \"upstream\":{{\"name\":\"u\",\"addr\":\"{upstream}\",\
+         \"slots\":4,\"connections\":10}}}}"
+    );
+    let file = format!("{}/{}.json", env!("CARGO_TARGET_TMPDIR"), addr);
+    let file = PathBuf::from(file);
+    std::fs::write(&file, text).expect("settings");
+    let args = [Path::new("--settings"), &file];
+    let limit = Duration::from_millis(LIMIT);
+    let process =
+        Process::start(Path::new(BINARY), args, callers, limit).expect("node");
+    let node = Node { process, callers, file };
+    while !get(&node, "/lagoondyke/ready").await.ok() {
+        pause().await;
+    }
+    node
+}
+
+async fn get(node: &Node, path: &str) -> lagoondyke_standin::server::Reply {
+    let call = call_once(node.callers, Method::GET, path, &[], "", LIMIT);
+    call.await.expect("the node answers")
+}
+
+async fn pause() {
+    monoio::time::sleep(Duration::from_millis(5)).await;
+}
+
+async fn busy(node: &Node) {
+    loop {
+        let status: Status =
+            get(node, "/lagoondyke/status").await.parse().expect("status");
+        if status.busy > 0 {
+            return;
+        }
+        pause().await;
+    }
+}
+
+async fn exit(node: &mut Node) -> Option<i32> {
+    loop {
+        if let Some(status) = node.process.status().expect("status") {
+            return status.code();
+        }
+        pause().await;
+    }
+}
+
+/// Guards against a planned stop that cuts off a request in flight.
+#[test]
+fn a_stop_finishes_requests_in_flight() {
+    block_on(async {
+        let options =
+            upstream::Options { service_ms: 500, ..Default::default() };
+        let mut node = node(upstream::start(options).unwrap()).await;
+        let callers = node.callers;
+        let request = monoio::spawn(async move {
+            let (post, body) = (Method::POST, "body");
+            call_once(callers, post, "/work", &HEADERS, body, LIMIT).await
+        });
+        busy(&node).await;
+        node.process.terminate().expect("signal");
+        let reply = request.await.expect("an answer");
+        assert!(reply.is(200), "{reply:?}");
+        assert_eq!(reply.body, "body");
+        assert_eq!(exit(&mut node).await, Some(0));
+    });
+}
+
+/// Guards against a node that cannot be stopped while its upstream hangs.
+#[test]
+fn a_second_signal_ends_the_process_at_once() {
+    block_on(async {
+        let options =
+            upstream::Options { service_ms: 60_000, ..Default::default() };
+        let mut node = node(upstream::start(options).unwrap()).await;
+        let callers = node.callers;
+        let request = monoio::spawn(async move {
+            let get = Method::GET;
+            call_once(callers, get, "/work", &HEADERS, "", LIMIT).await
+        });
+        busy(&node).await;
+        node.process.terminate().expect("signal");
+        // A signal during the handling of the first could be missed.
+        loop {
+            let status = get(&node, "/lagoondyke/status").await;
+            let status: Status = status.parse().expect("status");
+            if status.leaving {
+                break;
+            }
+            pause().await;
+        }
+        node.process.terminate().expect("signal");
+        assert_eq!(exit(&mut node).await, Some(1));
+        assert!(request.await.is_err());
+    });
+}
+
+/// Guards against a settings error that does not say where it is.
+#[test]
+fn check_names_the_place_of_an_error() {
+    let file = format!("{}/check.json", env!("CARGO_TARGET_TMPDIR"));
+    std::fs::write(&file, "{\n  // one\n  \"adr\": 1\n}").expect("settings");
+    let output = Command::new(BINARY)
+        .args(["--check", "--settings", &file])
+        .output()
+        .expect("node");
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text.contains("line 3, column 3"), "{text}");
+}
