Record one span per hop as OTLP JSON lines

A node that names a traces file records a span for each request it receives and for each attempt it makes, in the trace of the caller's traceparent. Without a file, a traceparent is passed on as it came.

The tests of the callers' server name ports above 0, since settings are now checked for them.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod serve;
 pub mod shell;
 pub mod store;
+pub mod trace;
 pub mod upstream;
 pub mod wire;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -52,6 +52,7 @@
     gauges: Gauges,
     unavailable: [Counter; 2],
     moves: Counter,
+    spans: Counter,
     owners: RefCell<HashMap<Shard, NodeAddr>>,
     lost: Cell<usize>,
     sampled: Cell<Option<Millis>>,
@@ -97,6 +98,8 @@
         let unavailable = metrics::with_local_recorder(&recorder, times);
         let moves = || counter!("lagoondyke_moves_total");
         let moves = metrics::with_local_recorder(&recorder, moves);
+        let spans = || counter!("lagoondyke_spans_dropped_total");
+        let spans = metrics::with_local_recorder(&recorder, spans);
         Ok(Self {
             recorder,
             handle,
@@ -106,6 +109,7 @@
             gauges,
             unavailable,
             moves,
+            spans,
             owners: RefCell::default(),
             lost: Cell::new(0),
             sampled: Cell::new(None),
@@ -236,6 +240,11 @@
         self.handle.run_upkeep();
     }
 
+    /// Notes the number of spans that were not recorded.
+    pub fn spans_dropped(&self, spans: u64) {
+        self.spans.absolute(spans);
+    }
+
     /// Notes the number of requests that have not ended.
     pub fn outstanding(&self, requests: usize) {
         self.gauges.requests.set(requests as f64);
@@ -310,6 +319,7 @@
         ("lagoondyke_malformed_total", "Input that could not be decoded"),
         ("lagoondyke_control_datagrams_total", "Control datagrams"),
         ("lagoondyke_control_bytes_total", "Bytes of control datagrams"),
+        ("lagoondyke_spans_dropped_total", "Spans that were not recorded"),
         ("lagoondyke_moves_total", "Shards that a leader gave a new owner"),
         (
             "lagoondyke_unavailable_shard_milliseconds_total",
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -18,8 +18,9 @@
 use crate::peer_server;
 use crate::peers::TcpPeers;
 use crate::serve;
-use crate::shell::{Ports, Shell};
+use crate::shell::{Ports, Records, Shell};
 use crate::store::HttpStore;
+use crate::trace::Tracer;
 use crate::upstream::HttpUpstream;
 
 /// Pause after a failed accept, for example for lack of descriptors.
@@ -97,7 +98,12 @@
     slog::info!(log, "node starts";
         "addr" => %settings.addr, "listen" => %settings.listen,
         "incarnation" => incarnation.0);
-    let shell = Shell::new(settings, node, ports, log, metrics);
+    let tracer = match &settings.log.traces {
+        Some(file) => Tracer::open(file, settings.addr.to_string())?,
+        None => Tracer::default(),
+    };
+    let records = Records { log, metrics, tracer };
+    let shell = Shell::new(settings, node, ports, records);
     control.listen(&shell);
     peer_server::listen(sockets.peers, &shell);
     serve::listen(sockets.callers, &shell);
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -28,6 +28,7 @@
 use crate::message::{Answer, Call, Reply};
 use crate::metrics::{HopKind, Metrics, SAMPLE, store_kind};
 use crate::ports::{self, Dispatch, Forward, Local, Peers, Store, Upstream};
+use crate::trace::{Span, Tracer};
 
 /// Takes the reply of a request; called once.
 pub type Done = Box<dyn FnOnce(Reply)>;
@@ -50,6 +51,17 @@
     }
 }
 
+/// Where a shell records what it does.
+#[derive(Debug)]
+pub struct Records {
+    /// Log lines.
+    pub log: Logger,
+    /// Metrics.
+    pub metrics: Rc<Metrics>,
+    /// Spans.
+    pub tracer: Tracer,
+}
+
 /// A handle of the loop; clones share it.
 #[derive(Clone, Debug)]
 pub struct Shell {
@@ -63,6 +75,7 @@
     ports: Ports,
     log: Logger,
     metrics: Rc<Metrics>,
+    tracer: Tracer,
     node: RefCell<Node>,
     queue: RefCell<VecDeque<Event>>,
     running: Cell<bool>,
@@ -81,6 +94,7 @@
     call: Rc<Call>,
     source: Source,
     since: Instant,
+    span: Option<Span>,
     done: Option<Done>,
     hops: Vec<Attempt>,
 }
@@ -125,15 +139,16 @@
         settings: Settings,
         node: Node,
         ports: Ports,
-        log: Logger,
-        metrics: Rc<Metrics>,
+        records: Records,
     ) -> Self {
+        let Records { log, metrics, tracer } = records;
         let inner = Inner {
             name: settings.addr.to_string(),
             settings,
             ports,
             log,
             metrics,
+            tracer,
             node: RefCell::new(node),
             queue: RefCell::default(),
             running: Cell::new(false),
@@ -228,6 +243,7 @@
         while self.inner.unwritten.get() > 0 && clock::now() < end {
             monoio::time::sleep(Duration::from_millis(1)).await;
         }
+        self.inner.tracer.close();
     }
 
     /// The node's metrics.
@@ -253,6 +269,7 @@
         let led = own.map_or(0, |spec| spec.shards / spec.groups.max(1));
         inner.metrics.sample(&node.status(now), usize::from(led), now);
         inner.metrics.outstanding(self.outstanding());
+        inner.metrics.spans_dropped(inner.tracer.dropped());
     }
 
     /// Delivers ticks, and reports of the upstream, until the node exits.
@@ -282,6 +299,7 @@
             call: Rc::clone(&call),
             source,
             since: Instant::now(),
+            span: self.span(source, call.trace.as_deref()),
             done: Some(done),
             hops: Vec::new(),
         };
@@ -296,6 +314,14 @@
         ticket
     }
 
+    fn span(&self, source: Source, trace: Option<&str>) -> Option<Span> {
+        let name = match source {
+            Source::Caller => "ingress",
+            Source::Peer => "owner",
+        };
+        self.inner.tracer.start(name, trace)
+    }
+
     /// Says that whoever sent a request went away.
     pub fn cancel(&self, ticket: Ticket) {
         let mut known = false;
@@ -427,14 +453,14 @@
         to: NodeAddr,
         deadline: Millis,
     ) {
-        let Some(call) = self.with(ticket, |entry| Rc::clone(&entry.call))
-        else {
+        let Some((call, span)) = self.with(ticket, Entry::next) else {
             return self.gone(ticket, Hop::Peer(attempt));
         };
-        let trace = call.trace.clone();
+        let span = span.map(|span| span.child("forward"));
+        let trace = header(span.as_ref(), &call);
         let forward = Forward { to, call, deadline, trace };
         let reply = self.inner.ports.peers.forward(forward);
-        self.start(ticket, Hop::Peer(attempt), reply);
+        self.start(ticket, Hop::Peer(attempt), span, reply);
     }
 
     fn dispatch(
@@ -443,14 +469,14 @@
         fence: Option<(Shard, Fence)>,
         deadline: Millis,
     ) {
-        let Some(call) = self.with(ticket, |entry| Rc::clone(&entry.call))
-        else {
+        let Some((call, span)) = self.with(ticket, Entry::next) else {
             return self.gone(ticket, Hop::Upstream);
         };
-        let trace = call.trace.clone();
+        let span = span.map(|span| span.child("dispatch"));
+        let trace = header(span.as_ref(), &call);
         let dispatch = Dispatch { call, fence, deadline, trace };
         let reply = self.inner.ports.upstream.run(dispatch);
-        self.start(ticket, Hop::Upstream, reply);
+        self.start(ticket, Hop::Upstream, span, reply);
     }
 
     /// Reports the failure of an attempt of a request that is unknown here.
@@ -462,7 +488,13 @@
     }
 
     /// Runs an attempt in its own task until it ends or is aborted.
-    fn start(&self, ticket: Ticket, hop: Hop, reply: Local<Reply>) {
+    fn start(
+        &self,
+        ticket: Ticket,
+        hop: Hop,
+        span: Option<Span>,
+        reply: Local<Reply>,
+    ) {
         let (abort, aborted) = oneshot::channel::<()>();
         let serial = self.inner.serials.get() + 1;
         self.inner.serials.set(serial);
@@ -478,15 +510,36 @@
         monoio::spawn(async move {
             monoio::select! {
                 biased;
-                _ = aborted => {}
+                _ = aborted => shell.trace(span, None),
                 reply = reply => {
                     shell.inner.metrics.hop(kind, since);
+                    shell.trace(span, Some(&reply));
                     shell.attempt_done(ticket, serial, reply);
                 }
             }
         });
     }
 
+    /// Ends a span; without a reply its request was aborted.
+    fn trace(&self, span: Option<Span>, reply: Option<&Reply>) {
+        let Some(span) = span else { return };
+        let mut fields = Vec::new();
+        match reply {
+            None => fields.push(("lagoondyke.aborted", "true".to_owned())),
+            Some(Ok(answer)) => {
+                let status = answer.status.as_str().to_owned();
+                fields.push(("http.response.status_code", status));
+                fields.push(("lagoondyke.node", answer.node.clone()));
+            }
+            Some(Err(refusal)) => {
+                let reason = refusal.reason.name().to_owned();
+                fields.push(("lagoondyke.reason", reason));
+            }
+        }
+        let failed = !matches!(reply, Some(Ok(_)));
+        self.inner.tracer.end(span, fields, failed);
+    }
+
     fn attempt_done(&self, ticket: Ticket, serial: u64, reply: Reply) {
         let ended = self.with(ticket, |entry| entry.end(serial, reply));
         // An attempt that was aborted while it ended reports nothing.
@@ -544,13 +597,24 @@
         let (_, index) = parts(ticket);
         let entry = self.inner.requests.borrow_mut().remove(index);
         self.inner.metrics.ended(entry.source, &reply, entry.since);
+        self.trace(entry.span, Some(&reply));
         if let Some(done) = entry.done {
             done(reply);
         }
     }
 }
 
+/// The trace context for the next hop: this hop's, or as it came.
+fn header(span: Option<&Span>, call: &Call) -> Option<String> {
+    span.map(Span::header).or_else(|| call.trace.clone())
+}
+
 impl Entry {
+    /// What the next attempt starts from.
+    fn next(&mut self) -> (Rc<Call>, Option<Span>) {
+        (Rc::clone(&self.call), self.span.clone())
+    }
+
     /// Notes the end of an attempt; `None` if it was aborted.
     fn end(&mut self, serial: u64, reply: Reply) -> Option<(Hop, Outcome)> {
         let mut hops = self.hops.iter_mut();
--- a/crates/node/tests/contract/callers.rs
+++ b/crates/node/tests/contract/callers.rs
@@ -31,7 +31,7 @@
 
 fn node() -> Node {
     let text = format!(
-        "{{\"addr\":\"127.0.0.1:0\",\"listen\":\"127.0.0.1:0\",\
+        "{{\"addr\":\"127.0.0.1:1\",\"listen\":\"127.0.0.1:2\",\
          \"domain\":\"d\",\"operator\":\"o\",\"service\":\"s\",\
          \"upstream\":{{\"name\":\"u\",\"addr\":\"{}\",\"slots\":4,\
          \"connections\":10}},\"store\":\"{}\"}}",
@@ -39,6 +39,9 @@
         closed()
     );
     let mut settings = Settings::parse(text).expect("settings");
+    // Settings name no free ports; the sockets do.
+    settings.addr.0.set_port(0);
+    settings.listen.set_port(0);
     let stop = Arc::new(AtomicBool::new(false));
     let flag = Arc::clone(&stop);
     let (sender, callers) = mpsc::channel();
--- a/crates/node/tests/decoders.rs
+++ b/crates/node/tests/decoders.rs
@@ -61,7 +61,7 @@
             1 => bytes.insert(at, random.random()),
             2 if at < bytes.len() => bytes[at] = random.random(),
             3 if at < bytes.len() => {
-                bytes[at] ^= 1 << random.random_range(0..8)
+                bytes[at] ^= 1 << random.random_range(0..8);
             }
             _ => {
                 let copy = bytes[at..].to_vec();
--- a/crates/node/tests/process.rs
+++ b/crates/node/tests/process.rs
@@ -10,6 +10,7 @@
 use lagoondyke_standin::client::call_once;
 use lagoondyke_standin::process::{Process, free_addr};
 use lagoondyke_standin::{block_on, store, upstream};
+use serde_json::Value;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_lagoondyked");
 
@@ -34,6 +35,7 @@
 impl Drop for Node {
     fn drop(&mut self) {
         let _ = std::fs::remove_file(&self.file);
+        let _ = std::fs::remove_file(self.file.with_extension("traces"));
     }
 }
 
@@ -45,14 +47,15 @@
     let put = call_once(store, Method::PUT, name, &create, CONFIG, LIMIT);
     assert!(put.await.expect("store").ok());
     let (addr, callers) = (free_addr().unwrap(), free_addr().unwrap());
+    let base = format!("{}/{addr}", env!("CARGO_TARGET_TMPDIR"));
     let text = format!(
         "{{\"addr\":\"{addr}\",\"listen\":\"{callers}\",\"domain\":\"d\",\
          \"operator\":\"o\",\"service\":\"s\",\"store\":\"{store}\",\
          \"upstream\":{{\"name\":\"u\",\"addr\":\"{upstream}\",\
-         \"slots\":4,\"connections\":10}}}}"
+         \"slots\":4,\"connections\":10}},\
+         \"log\":{{\"traces\":\"{base}.traces\"}}}}"
     );
-    let file = format!("{}/{}.json", env!("CARGO_TARGET_TMPDIR"), addr);
-    let file = PathBuf::from(file);
+    let file = PathBuf::from(format!("{base}.json"));
     std::fs::write(&file, text).expect("settings");
     let args = [Path::new("--settings"), &file];
     let limit = Duration::from_millis(LIMIT);
@@ -157,3 +160,39 @@
     assert_eq!(output.status.code(), Some(1));
     assert!(text.contains("line 3, column 3"), "{text}");
 }
+
+/// Guards against spans that are lost at a stop, or that are not part of
+/// the caller's trace.
+#[test]
+fn spans_continue_the_callers_trace() {
+    block_on(async {
+        let options = upstream::Options::default();
+        let mut node = node(upstream::start(options).unwrap()).await;
+        let trace = "0af7651916cd43dd8448eb211c80319c";
+        let parent = format!("00-{trace}-b7ad6b7169203331-01");
+        let mut headers = HEADERS.to_vec();
+        headers.push(("traceparent", &parent));
+        let (get, callers) = (Method::GET, node.callers);
+        let call = call_once(callers, get, "/work", &headers, "", LIMIT);
+        assert!(call.await.expect("an answer").is(200));
+        node.process.terminate().expect("signal");
+        assert_eq!(exit(&mut node).await, Some(0));
+        let file = node.file.with_extension("traces");
+        let text = std::fs::read_to_string(file).expect("traces");
+        let mut spans = Vec::new();
+        for line in text.lines() {
+            let line: Value = serde_json::from_str(line).expect("JSON");
+            let scope = &line["resourceSpans"][0]["scopeSpans"][0];
+            spans.extend(scope["spans"].as_array().expect("spans").clone());
+        }
+        let find = |name: &str| {
+            let mut all = spans.iter();
+            all.find(|span| span["name"] == name).expect("span").clone()
+        };
+        let (ingress, dispatch) = (find("ingress"), find("dispatch"));
+        assert_eq!(ingress["traceId"], trace);
+        assert_eq!(ingress["parentSpanId"], "b7ad6b7169203331");
+        assert_eq!(dispatch["traceId"], trace);
+        assert_eq!(dispatch["parentSpanId"], ingress["spanId"]);
+    });
+}
