--- a/crates/node/tests/contract/callers.rs
+++ b/crates/node/tests/contract/callers.rs
@@ -39,7 +39,7 @@
         closed()
     );
     let mut settings = Settings::parse(text).expect("settings");
-    // Settings name no free ports; the sockets do.
+    // Settings files may not name port 0, which draws a free port here.
     settings.addr.0.set_port(0);
     settings.listen.set_port(0);
     let stop = Arc::new(AtomicBool::new(false));
