Copy less on the way of a request

Heads are written into a buffer that each connection keeps, headers are filtered as they are written instead of removed from the map first, and a watch for the end of a connection takes 64 bytes instead of 8 KiB. A path that is not ASCII is refused by the ingress, and a malformed request in a whole frame is refused by itself: the owner's node closed the peer connection before, which failed all requests on it.

--- a/crates/node/src/frames.rs
+++ b/crates/node/src/frames.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::os::fd::AsRawFd;
+use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
 use http::header::{HeaderMap, HeaderName, HeaderValue};
@@ -14,7 +15,7 @@
 use monoio::io::AsyncReadRent;
 use monoio::net::TcpStream;
 
-use crate::message::{Answer, Call};
+use crate::message::{Answer, Call, is_passed_on};
 use crate::ports::Forward;
 
 /// Bytes that are read at once.
@@ -143,7 +144,7 @@
         path: frame.path,
         headers: map(frame.headers).ok_or(FrameError::Malformed)?,
         body,
-        trace: frame.trace,
+        trace: frame.trace.filter(|text| text.bytes().all(clean)),
     })
 }
 
@@ -167,7 +168,7 @@
 pub fn answer_of(
     frame: AnswerFrame,
     body: Bytes,
-    node: String,
+    node: Rc<str>,
 ) -> Result<Answer, FrameError> {
     let status = StatusCode::from_u16(frame.status)
         .map_err(|_| FrameError::Malformed)?;
@@ -179,6 +180,9 @@
 fn list(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
     let mut list = Vec::with_capacity(headers.len());
     for (name, value) in headers {
+        if !is_passed_on(name) {
+            continue;
+        }
         list.push((name.as_str().to_owned(), value.as_bytes().to_vec()));
     }
     list
--- a/crates/node/src/grants.rs
+++ b/crates/node/src/grants.rs
@@ -160,10 +160,11 @@
         };
         let body = Bytes::from(serde_json::to_vec(&document).ok()?);
         let put = Method::PUT;
-        let mut head = request_line(&put, "/lagoondyke/grants");
-        put_header(&mut head, "host", self.addr.to_string().as_bytes());
-        put_header(&mut head, "content-type", b"application/json");
-        let response = exchange(conn, &put, head, body, ANSWER_MAX).await;
+        let out = conn.out();
+        request_line(out, &put, "/lagoondyke/grants");
+        put_header(out, "host", self.addr.to_string().as_bytes());
+        put_header(out, "content-type", b"application/json");
+        let response = exchange(conn, &put, body, ANSWER_MAX).await;
         response.ok()?.status.is_success().then_some(())
     }
 }
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -37,18 +37,16 @@
     Malformed(WireError),
 }
 
-/// Starts a request head; the caller appends headers and then calls
-/// [`exchange`], which appends the length and the end of the head.
-#[must_use]
-pub fn request_line(method: &Method, path: &str) -> BytesMut {
-    let mut out = BytesMut::with_capacity(1024);
+/// Starts a request head in [`Conn::out`]; the caller appends headers and
+/// then calls [`exchange`].
+pub fn request_line(out: &mut BytesMut, method: &Method, path: &str) {
     for part in [method.as_str(), " ", path, " HTTP/1.1\r\n"] {
         out.extend_from_slice(part.as_bytes());
     }
-    out
 }
 
-/// Sends a request and reads the response, of at most `limit` bytes.
+/// Sends the request whose head is in [`Conn::out`] and reads the response,
+/// of at most `limit` bytes. Appends the length and the end of the head.
 ///
 /// # Errors
 ///
@@ -56,42 +54,29 @@
 pub async fn exchange(
     conn: &mut Conn,
     method: &Method,
-    mut head: BytesMut,
     body: Bytes,
     limit: usize,
 ) -> Result<Response, ExchangeError> {
-    let has_body = !matches!(
+    let bodiless = matches!(
         *method,
         Method::GET | Method::HEAD | Method::DELETE | Method::OPTIONS
     );
-    if has_body || !body.is_empty() {
-        put_number(&mut head, "content-length", body.len() as u64);
+    if !bodiless || !body.is_empty() {
+        let size = body.len() as u64;
+        put_number(conn.out(), "content-length", size);
     }
-    head.extend_from_slice(b"\r\n");
-    send(conn, head, body).await?;
-    receive(conn, method, limit).await
-}
-
-async fn send(
-    conn: &mut Conn,
-    mut head: BytesMut,
-    body: Bytes,
-) -> Result<(), ExchangeError> {
+    conn.out().extend_from_slice(b"\r\n");
     let copied = body.len() <= COPY_MAX;
     if copied {
-        head.extend_from_slice(&body);
-    }
-    let mut head = head.freeze();
-    let sent = conn.write_some(head.clone()).await;
-    let sent = sent.map_err(|_| ExchangeError::Unsent)?;
-    let rest = head.split_off(sent);
-    if !rest.is_empty() {
-        conn.write(rest).await.map_err(|_| ExchangeError::Lost)?;
+        conn.out().extend_from_slice(&body);
     }
+    conn.flush().await.map_err(|sent| {
+        if sent { ExchangeError::Lost } else { ExchangeError::Unsent }
+    })?;
     if !copied {
         conn.write(body).await.map_err(|_| ExchangeError::Lost)?;
     }
-    Ok(())
+    receive(conn, method, limit).await
 }
 
 async fn receive(
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -1,5 +1,7 @@
 //! Requests and answers as the shell keeps them.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName};
 use http::{Method, StatusCode};
@@ -81,7 +83,7 @@
 }
 
 /// A whole answer of an upstream.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Answer {
     /// HTTP status code.
     pub status: StatusCode,
@@ -94,7 +96,7 @@
     /// The shard under which the request ran.
     pub shard: Option<Shard>,
     /// The node beside the upstream that answered.
-    pub node: String,
+    pub node: Rc<str>,
 }
 
 /// How a request ended.
@@ -133,27 +135,39 @@
     Fingerprint(hash.digest())
 }
 
-/// Removes the headers that concern one connection only, those that
-/// `Connection` names, and the length, which is written anew.
-pub fn strip_hop_headers(headers: &mut HeaderMap) {
-    if let Some(list) = headers.remove(header::CONNECTION) {
-        let named = list.to_str().unwrap_or_default().to_owned();
-        for name in named.split(',') {
-            headers.remove(name.trim());
+/// Whether a header is passed on: not one that concerns a single connection,
+/// nor one that each node writes anew.
+#[must_use]
+pub fn is_passed_on(name: &HeaderName) -> bool {
+    !matches!(
+        name.as_str(),
+        "connection"
+            | "content-length"
+            | "transfer-encoding"
+            | "te"
+            | "trailer"
+            | "upgrade"
+            | "expect"
+            | "keep-alive"
+            | "proxy-authenticate"
+            | "proxy-authorization"
+            | "proxy-connection"
+            | "idempotency-scope"
+            | "lagoondyke-deadline"
+            | "lagoondyke-fence"
+            | "lagoondyke-node"
+            | "lagoondyke-shard"
+            | "traceparent"
+    )
+}
+
+/// Removes the headers that `Connection` names.
+pub fn drop_named(headers: &mut HeaderMap) {
+    let Some(list) = headers.get(header::CONNECTION) else { return };
+    let named = list.to_str().unwrap_or_default().to_owned();
+    for name in named.split(',').map(str::trim) {
+        if !matches!(name, "close" | "keep-alive") {
+            headers.remove(name);
         }
     }
-    for name in [
-        header::CONTENT_LENGTH,
-        header::TRANSFER_ENCODING,
-        header::TE,
-        header::TRAILER,
-        header::UPGRADE,
-        header::EXPECT,
-        header::PROXY_AUTHENTICATE,
-        header::PROXY_AUTHORIZATION,
-        HeaderName::from_static("keep-alive"),
-        HeaderName::from_static("proxy-connection"),
-    ] {
-        headers.remove(name);
-    }
 }
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -67,7 +67,8 @@
     let mut headers = HeaderMap::new();
     let media = HeaderValue::from_static(media);
     headers.insert(header::CONTENT_TYPE, media);
-    Served { status, headers, body: body.into() }
+    let body = body.into();
+    Served { status, headers, body, node: None, scope: None }
 }
 
 /// Whether a path reaches the endpoints under `/lagoondyke/` of an
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -134,7 +134,17 @@
         if self.live.borrow().contains_key(&id) {
             return Err(FrameError::Malformed);
         }
-        let call = call_of(frame, body)?;
+        let call = match call_of(frame, body) {
+            Ok(call) => call,
+            Err(error) => {
+                // The frame itself is whole, so the connection stays.
+                self.shell.malformed("peer", &error);
+                let detail = "the forwarded request is malformed";
+                let refusal = Refusal::new(Reason::BadRequest, detail);
+                self.push(&Frame::Refused { id, refusal }, b"");
+                return Ok(());
+            }
+        };
         let session = Rc::clone(self);
         // The reply can arrive before `submit` returns, so the ticket is
         // noted only if the request is still live then.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -55,6 +55,7 @@
 /// A connection to one peer.
 struct Link {
     to: NodeAddr,
+    name: Rc<str>,
     queue: Tx<Item>,
     waiting: RefCell<HashMap<u64, Waiting>>,
     next: Cell<u64>,
@@ -127,6 +128,7 @@
         let (queue, due) = unbounded::channel();
         let link = Rc::new(Link {
             to,
+            name: to.to_string().into(),
             queue,
             waiting: RefCell::default(),
             next: Cell::new(1),
@@ -264,7 +266,7 @@
         let (id, incoming) = match frame {
             Frame::Answer(answer) => {
                 let id = answer.id;
-                let answer = answer_of(answer, body, self.to.to_string());
+                let answer = answer_of(answer, body, Rc::clone(&self.name));
                 (id, Incoming::Reply(answer.map_err(|_| unusable())))
             }
             Frame::Refused { id, refusal } => {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -91,7 +91,7 @@
     let name = settings.addr.to_string();
     let ports = Ports {
         store: Rc::new(HttpStore::new(settings.store)),
-        upstream: Rc::new(HttpUpstream::new(&settings.upstream, name)),
+        upstream: Rc::new(HttpUpstream::new(&settings.upstream, &name)),
         peers: Rc::new(TcpPeers::new()),
         control: Rc::clone(&control) as Rc<dyn crate::ports::Control>,
     };
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -18,8 +18,8 @@
 
 use crate::http::COPY_MAX;
 use crate::message::{
-    Answer, Call, DEADLINE, FENCE, KEY, NODE, PARTNER, Reply, SCOPE, SERVICE,
-    SHARD, TOKEN, TRACE, fingerprint, is_idempotent, strip_hop_headers,
+    Answer, Call, DEADLINE, KEY, NODE, PARTNER, Reply, SCOPE, SERVICE, TOKEN,
+    TRACE, drop_named, fingerprint, is_idempotent,
 };
 use crate::ops;
 use crate::problem;
@@ -64,6 +64,10 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// The node that answers or refuses.
+    pub node: Option<Rc<str>>,
+    /// The idempotency scope to name.
+    pub scope: Option<String>,
 }
 
 /// A request that is refused before the reducer sees it.
@@ -215,7 +219,7 @@
 /// stay in the buffer; the connection is not watched further then.
 async fn gone(conn: &mut Conn) {
     while !conn.has_unread() {
-        if let Ok(0) | Err(_) = conn.fill().await {
+        if let Ok(0) | Err(_) = conn.watch().await {
             return;
         }
     }
@@ -236,6 +240,10 @@
     if head.method == Method::CONNECT || ops::is_reserved(&path) {
         return Err(bad("the method or path is not forwarded"));
     }
+    // The owner's node accepts no other paths.
+    if !path.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(bad("the path is not ASCII"));
+    }
     let budget = match text(&headers, &DEADLINE)? {
         None => DEADLINE_DEFAULT,
         Some(text) => match text.parse() {
@@ -248,10 +256,7 @@
     let scope = text(&headers, &SCOPE)?;
     let partner = text(&headers, &PARTNER)?;
     let trace = text(&headers, &TRACE).unwrap_or_default();
-    strip_hop_headers(&mut headers);
-    for name in [DEADLINE, FENCE, SHARD, TRACE] {
-        headers.remove(name);
-    }
+    drop_named(&mut headers);
     let method = head.method;
     let fingerprint = fingerprint(&service, &method, &path, key, &body);
     Ok(Call {
@@ -326,15 +331,13 @@
 }
 
 fn served(answer: Answer) -> Served {
-    let mut headers = answer.headers;
-    headers.remove(SCOPE);
-    if let Ok(node) = answer.node.parse() {
-        headers.insert(NODE, node);
-    }
-    if let Some(scope) = answer.scope.and_then(|text| text.parse().ok()) {
-        headers.insert(SCOPE, scope);
+    Served {
+        status: answer.status,
+        headers: answer.headers,
+        body: answer.body,
+        node: Some(answer.node),
+        scope: answer.scope,
     }
-    Served { status: answer.status, headers, body: answer.body }
 }
 
 fn refused(shell: &Shell, refusal: Refusal) -> Served {
@@ -343,17 +346,12 @@
     let mut headers = HeaderMap::new();
     let media = header::HeaderValue::from_static(problem::MEDIA_TYPE);
     headers.insert(header::CONTENT_TYPE, media);
-    if let Ok(node) = shell.name().parse() {
-        headers.insert(NODE, node);
-    }
     if let Some(seconds) = problem::retry_after(&refusal) {
         headers.insert(header::RETRY_AFTER, seconds.into());
     }
     let body = problem::document(&refusal, status);
-    if let Some(scope) = refusal.scope.and_then(|text| text.parse().ok()) {
-        headers.insert(SCOPE, scope);
-    }
-    Served { status, headers, body }
+    let node = Some(shell.name());
+    Served { status, headers, body, node, scope: refusal.scope }
 }
 
 /// Writes a response; false if the caller did not take it.
@@ -364,8 +362,29 @@
     keep: bool,
     with_body: bool,
 ) -> bool {
-    let mut out =
-        BytesMut::with_capacity(512 + response.body.len().min(COPY_MAX));
+    put_head(conn.out(), response, version, keep, with_body);
+    let body = if with_body { &response.body[..] } else { &[] };
+    let copied = body.len() <= COPY_MAX;
+    if copied {
+        conn.out().extend_from_slice(body);
+    }
+    let sent = timeout(WRITE_LIMIT, async {
+        let sent = conn.flush().await.is_ok();
+        if copied || !sent {
+            return sent;
+        }
+        conn.write(response.body.clone()).await.is_ok()
+    });
+    sent.await.unwrap_or(false)
+}
+
+fn put_head(
+    out: &mut BytesMut,
+    response: &Served,
+    version: Version,
+    keep: bool,
+    with_body: bool,
+) {
     let status = response.status;
     out.extend_from_slice(b"HTTP/1.1 ");
     out.extend_from_slice(status.as_str().as_bytes());
@@ -375,25 +394,20 @@
     out.extend_from_slice(b"\r\n");
     let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
     if with_body && !bodiless.contains(&status) {
-        let size = response.body.len() as u64;
-        put_number(&mut out, "content-length", size);
+        put_number(out, "content-length", response.body.len() as u64);
     }
     if !keep {
-        put_header(&mut out, "connection", b"close");
+        put_header(out, "connection", b"close");
     } else if version != Version::HTTP_11 {
-        put_header(&mut out, "connection", b"keep-alive");
+        put_header(out, "connection", b"keep-alive");
     }
-    put_headers(&mut out, &response.headers);
-    out.extend_from_slice(b"\r\n");
-    let mut body =
-        if with_body { response.body.clone() } else { Bytes::new() };
-    if body.len() <= COPY_MAX {
-        out.extend_from_slice(&body);
-        body = Bytes::new();
+    put_headers(out, &response.headers);
+    if let Some(node) = &response.node {
+        put_header(out, NODE.as_str(), node.as_bytes());
     }
-    let sent = timeout(WRITE_LIMIT, async {
-        conn.write(out).await?;
-        if body.is_empty() { Ok(()) } else { conn.write(body).await }
-    });
-    matches!(sent.await, Ok(Ok(())))
+    let clean = |text: &&String| text.bytes().all(|b| b.is_ascii_graphic());
+    if let Some(scope) = response.scope.as_ref().filter(clean) {
+        put_header(out, SCOPE.as_str(), scope.as_bytes());
+    }
+    out.extend_from_slice(b"\r\n");
 }
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -71,13 +71,15 @@
 #[derive(Debug)]
 struct Inner {
     settings: Settings,
-    name: String,
+    name: Rc<str>,
     ports: Ports,
     log: Logger,
     metrics: Rc<Metrics>,
     tracer: Tracer,
     node: RefCell<Node>,
     queue: RefCell<VecDeque<Event>>,
+    /// Emptied between two runs; kept for its memory.
+    effects: RefCell<Vec<Effect>>,
     running: Cell<bool>,
     stopping: Cell<bool>,
     exited: Cell<bool>,
@@ -143,7 +145,7 @@
     ) -> Self {
         let Records { log, metrics, tracer } = records;
         let inner = Inner {
-            name: settings.addr.to_string(),
+            name: settings.addr.to_string().into(),
             settings,
             ports,
             log,
@@ -151,6 +153,7 @@
             tracer,
             node: RefCell::new(node),
             queue: RefCell::default(),
+            effects: RefCell::default(),
             running: Cell::new(false),
             stopping: Cell::new(false),
             exited: Cell::new(false),
@@ -171,8 +174,8 @@
 
     /// The node's name in answers: its address.
     #[must_use]
-    pub fn name(&self) -> &str {
-        &self.inner.name
+    pub fn name(&self) -> Rc<str> {
+        Rc::clone(&self.inner.name)
     }
 
     /// The node's log.
@@ -342,7 +345,7 @@
         if inner.running.replace(true) {
             return;
         }
-        let mut effects = Vec::new();
+        let mut effects = inner.effects.take();
         loop {
             let event = inner.queue.borrow_mut().pop_front();
             let Some(event) = event else { break };
@@ -352,6 +355,7 @@
                 self.perform(effect);
             }
         }
+        inner.effects.replace(effects);
         inner.running.set(false);
     }
 
@@ -529,7 +533,7 @@
             Some(Ok(answer)) => {
                 let status = answer.status.as_str().to_owned();
                 fields.push(("http.response.status_code", status));
-                fields.push(("lagoondyke.node", answer.node.clone()));
+                fields.push(("lagoondyke.node", answer.node.to_string()));
             }
             Some(Err(refusal)) => {
                 let reason = refusal.reason.name().to_owned();
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Method, StatusCode, header};
 use lagoondyke_core::config::DOCUMENT_MAX;
 use lagoondyke_core::effect::StoreOp;
@@ -89,8 +89,7 @@
         path: &str,
         limit: Duration,
     ) -> Result<Response, CallError> {
-        let head = self.head(&Method::GET, path);
-        let call = self.request(&Method::GET, head, Bytes::new());
+        let call = self.request(&Method::GET, path, None, Bytes::new());
         timeout(limit, call).await.unwrap_or(Err(CallError::Unanswered))
     }
 
@@ -100,34 +99,33 @@
         expect: u64,
         value: Vec<u8>,
     ) -> StoreOutcome {
-        let mut head = self.head(&Method::PUT, &format!("/objects/{name}"));
-        if expect == 0 {
-            put_header(&mut head, "if-none-match", b"*");
-        } else {
-            let tag = format!("\"{expect}\"");
-            put_header(&mut head, "if-match", tag.as_bytes());
-        }
-        put_header(&mut head, "content-type", b"application/json");
-        let call = self.request(&Method::PUT, head, value.into());
+        let path = format!("/objects/{name}");
+        let condition = match expect {
+            0 => ("if-none-match", "*".to_owned()),
+            _ => ("if-match", format!("\"{expect}\"")),
+        };
+        let condition = Some(condition);
+        let call = self.request(&Method::PUT, &path, condition, value.into());
         let result = timeout(CALL_LIMIT, call).await;
         written(result.unwrap_or(Err(CallError::Unanswered)))
     }
 
-    fn head(&self, method: &Method, path: &str) -> BytesMut {
-        let mut head = request_line(method, path);
-        put_header(&mut head, "host", self.addr.to_string().as_bytes());
-        head
-    }
-
     async fn request(
         &self,
         method: &Method,
-        head: BytesMut,
+        path: &str,
+        condition: Option<(&str, String)>,
         body: Bytes,
     ) -> Result<Response, CallError> {
         let mut conn = self.connect().await?;
-        let limit = DOCUMENT_MAX;
-        let result = exchange(&mut conn, method, head, body, limit).await;
+        let out = conn.out();
+        request_line(out, method, path);
+        put_header(out, "host", self.addr.to_string().as_bytes());
+        if let Some((name, value)) = condition {
+            put_header(out, name, value.as_bytes());
+            put_header(out, "content-type", b"application/json");
+        }
+        let result = exchange(&mut conn, method, body, DOCUMENT_MAX).await;
         let response = result.map_err(|error| match error {
             ExchangeError::Unsent => CallError::Unsent,
             _ => CallError::Unanswered,
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -27,7 +27,7 @@
 use crate::grants::Grants;
 use crate::http::{ExchangeError, Response, exchange, request_line};
 use crate::message::{
-    Answer, DEADLINE, FENCE, Reply, SHARD, TRACE, strip_hop_headers,
+    Answer, DEADLINE, FENCE, Reply, SHARD, TRACE, drop_named,
 };
 use crate::ports::{Dispatch, Local, Report, Upstream};
 use crate::problem;
@@ -55,7 +55,7 @@
 pub(crate) struct Inner {
     addr: SocketAddr,
     host: String,
-    node: String,
+    node: Rc<str>,
     idle: RefCell<Vec<Conn>>,
     permits: Semaphore,
     pub(crate) grants: Grants,
@@ -75,12 +75,12 @@
 impl HttpUpstream {
     /// A client of the upstream of `settings`, beside the node `node`.
     #[must_use]
-    pub fn new(settings: &UpstreamSettings, node: String) -> Self {
+    pub fn new(settings: &UpstreamSettings, node: &str) -> Self {
         let limit = settings.connections.saturating_sub(RESERVED).max(1);
         let inner = Inner {
             addr: settings.addr,
             host: settings.addr.to_string(),
-            node,
+            node: node.into(),
             idle: RefCell::default(),
             permits: Semaphore::new(usize::from(limit)),
             grants: Grants::new(settings.addr),
@@ -155,12 +155,11 @@
         dispatch: &Dispatch,
     ) -> Result<Response, RunError> {
         let call = &dispatch.call;
-        let head = self.head(dispatch);
         loop {
             let (mut conn, fresh) = self.connect().await?;
-            let (head, body) = (head.clone(), call.body.clone());
-            let method = &call.method;
-            match exchange(&mut conn, method, head, body, BODY_MAX).await {
+            self.head(dispatch, conn.out());
+            let (method, body) = (&call.method, call.body.clone());
+            match exchange(&mut conn, method, body, BODY_MAX).await {
                 Ok(response) => {
                     if response.keep {
                         self.idle.borrow_mut().push(conn);
@@ -189,24 +188,23 @@
         }
     }
 
-    fn head(&self, dispatch: &Dispatch) -> BytesMut {
+    fn head(&self, dispatch: &Dispatch, out: &mut BytesMut) {
         let call = &dispatch.call;
-        let mut head = request_line(&call.method, &call.path);
+        request_line(out, &call.method, &call.path);
         if !call.headers.contains_key(header::HOST) {
-            put_header(&mut head, "host", self.host.as_bytes());
+            put_header(out, "host", self.host.as_bytes());
         }
-        put_headers(&mut head, &call.headers);
+        put_headers(out, &call.headers);
         let left = dispatch.deadline.since(clock::now());
-        put_number(&mut head, DEADLINE.as_str(), left);
+        put_number(out, DEADLINE.as_str(), left);
         if let Some((shard, fence)) = dispatch.fence {
             let fence = fence.to_string();
-            put_header(&mut head, FENCE.as_str(), fence.as_bytes());
-            put_number(&mut head, SHARD.as_str(), u64::from(shard.0));
+            put_header(out, FENCE.as_str(), fence.as_bytes());
+            put_number(out, SHARD.as_str(), u64::from(shard.0));
         }
         if let Some(trace) = &dispatch.trace {
-            put_header(&mut head, TRACE.as_str(), trace.as_bytes());
+            put_header(out, TRACE.as_str(), trace.as_bytes());
         }
-        head
     }
 
     fn answer(&self, dispatch: &Dispatch, mut response: Response) -> Reply {
@@ -218,14 +216,14 @@
             let detail = "the upstream rejected the fencing token";
             return Err(Refusal::new(Reason::Fenced, detail));
         }
-        strip_hop_headers(&mut response.headers);
+        drop_named(&mut response.headers);
         Ok(Answer {
             status,
             headers: response.headers,
             body: response.body,
             scope: None,
             shard: dispatch.fence.map(|(shard, _)| shard),
-            node: self.node.clone(),
+            node: Rc::clone(&self.node),
         })
     }
 
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -10,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use http::header::{self, HeaderMap};
 use http::{Method, StatusCode, Version};
-use monoio::buf::IoBufMut;
+use monoio::buf::{IoBuf, IoBufMut};
 use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
 use monoio_codec::{Decoded, Decoder};
@@ -20,12 +20,21 @@
     ChunkedBodyDecoder, DecodeError, RequestHeadDecoder, ResponseHeadDecoder,
 };
 
+use crate::message::is_passed_on;
+
 /// Largest block of request or status line and headers, in bytes.
 pub const HEAD_MAX: usize = 32 * 1024;
 
 /// Bytes that are read at once.
 const READ_SIZE: usize = 8 * 1024;
 
+/// Largest write buffer that a connection keeps, in bytes.
+const OUT_KEPT: usize = 32 * 1024;
+
+/// Bytes that are read while a connection is only watched for its end. The
+/// buffer is lost when the watch is given up, so it is small.
+const WATCH_SIZE: usize = 64;
+
 /// Why a message could not be read.
 #[derive(Debug)]
 pub enum WireError {
@@ -70,6 +79,7 @@
 pub struct Conn {
     stream: TcpStream,
     buf: BytesMut,
+    out: BytesMut,
 }
 
 impl Conn {
@@ -78,7 +88,7 @@
     #[must_use]
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buf: BytesMut::new() }
+        Self { stream, buf: BytesMut::new(), out: BytesMut::new() }
     }
 
     /// Whether bytes have been read that no message has used yet.
@@ -103,22 +113,39 @@
         result
     }
 
-    /// Writes all of `bytes`.
+    /// The bytes that [`Conn::flush`] will write.
+    pub fn out(&mut self) -> &mut BytesMut {
+        &mut self.out
+    }
+
+    /// Writes the bytes of [`Conn::out`].
     ///
     /// # Errors
     ///
-    /// Returns the error of the socket.
-    pub async fn write(&mut self, bytes: impl Into<Bytes>) -> io::Result<()> {
-        self.stream.write_all(bytes.into()).await.0.map(|_| ())
+    /// Returns whether some of the bytes were written before the failure.
+    pub async fn flush(&mut self) -> Result<(), bool> {
+        let mut out = std::mem::take(&mut self.out);
+        let mut sent = 0;
+        while sent < out.len() {
+            let (result, slice) = self.stream.write(out.slice(sent..)).await;
+            out = slice.into_inner();
+            sent += result.map_err(|_| sent > 0)?;
+        }
+        out.clear();
+        // A buffer that a large body has grown is not kept.
+        if out.capacity() <= OUT_KEPT {
+            self.out = out;
+        }
+        Ok(())
     }
 
-    /// Writes as much of `bytes` as the socket takes at once.
+    /// Writes all of `bytes`.
     ///
     /// # Errors
     ///
-    /// Returns the error of the socket; nothing was written then.
-    pub async fn write_some(&mut self, bytes: Bytes) -> io::Result<usize> {
-        self.stream.write(bytes).await.0
+    /// Returns the error of the socket.
+    pub async fn write(&mut self, bytes: Bytes) -> io::Result<()> {
+        self.stream.write_all(bytes).await.0.map(|_| ())
     }
 
     /// Reads bytes and drops them; 0 at the end of the stream.
@@ -233,15 +260,28 @@
         }
     }
 
+    /// Waits for the next bytes or the end of the stream. Unlike
+    /// [`Conn::fill`], giving this up loses no buffer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub async fn watch(&mut self) -> io::Result<usize> {
+        let small = Vec::with_capacity(WATCH_SIZE);
+        let (result, small) = self.stream.read(small).await;
+        self.buf.extend_from_slice(&small);
+        result
+    }
+
     /// Whether an idle connection can still be used: the other side has
     /// neither closed it nor sent anything unasked.
     pub async fn is_idle(&mut self) -> bool {
         if !self.buf.is_empty() {
             return false;
         }
-        let mut fill = std::pin::pin!(self.fill());
+        let mut watch = std::pin::pin!(self.watch());
         std::future::poll_fn(|context| {
-            std::task::Poll::Ready(fill.as_mut().poll(context).is_pending())
+            std::task::Poll::Ready(watch.as_mut().poll(context).is_pending())
         })
         .await
     }
@@ -390,9 +430,12 @@
     put_header(out, name, &digits[at..]);
 }
 
-/// Appends all header lines of a map.
+/// Appends the header lines of a map that are passed on.
 pub fn put_headers(out: &mut BytesMut, headers: &HeaderMap) {
     for (name, value) in headers {
+        if !is_passed_on(name) {
+            continue;
+        }
         put_header(out, name.as_str(), value.as_bytes());
     }
 }
--- a/crates/node/tests/contract/callers.rs
+++ b/crates/node/tests/contract/callers.rs
@@ -130,6 +130,11 @@
             &format!("{post}lagoondyke-deadline: 60001\r\n\r\n"),
             400,
         ),
+        (
+            "other letters",
+            "GET /\u{e9} HTTP/1.1\r\nlagoondyke-service: s\r\n\r\n",
+            400,
+        ),
         (
             "own path",
             "GET /lagoondyke/grants HTTP/1.1\r\n\
--- a/crates/node/tests/contract/upstream.rs
+++ b/crates/node/tests/contract/upstream.rs
@@ -22,7 +22,7 @@
     let name = "u".to_owned();
     let (slots, connections) = (4, 10);
     let settings = UpstreamSettings { name, addr, slots, connections };
-    HttpUpstream::new(&settings, "n".to_owned())
+    HttpUpstream::new(&settings, "n")
 }
 
 fn dispatch(upstream: &HttpUpstream, fence: Option<u32>) -> Local<Reply> {
