Send an unchanged grant to the upstream at most every 250 ms

A leader renews its own lease at each tick, and each renewal was sent to its fenced upstream over a new connection: 38 requests a second. Extensions of less than 250 ms of the same shards are not sent, and the connection is kept.

--- a/crates/node/src/grants.rs
+++ b/crates/node/src/grants.rs
@@ -29,6 +29,11 @@
 /// Pause before a grant that failed is sent again.
 const RETRY: Duration = Duration::from_millis(100);
 
+/// Least extension of an unchanged grant that is worth sending, in
+/// milliseconds. A leader renews its own lease at each tick, 40 times a
+/// second.
+const EXTENSION: u64 = 250;
+
 /// Largest answer to a grant, in bytes.
 const ANSWER_MAX: usize = 16 * 1024;
 
@@ -47,6 +52,7 @@
     installed: RefCell<HashMap<Shard, Fence>>,
     waiting: RefCell<Vec<oneshot::Sender<()>>>,
     sending: Cell<bool>,
+    conn: RefCell<Option<Conn>>,
 }
 
 #[derive(Clone, Debug)]
@@ -71,12 +77,20 @@
                 installed: RefCell::default(),
                 waiting: RefCell::default(),
                 sending: Cell::new(false),
+                conn: RefCell::default(),
             }),
         }
     }
 
     /// Replaces the grant.
     pub(crate) fn set(&self, shards: Vec<(Shard, Fence)>, until: Millis) {
+        let extends = self.inner.wanted.borrow().as_ref().is_some_and(|old| {
+            let span = until.since(old.until);
+            old.shards == shards && span < EXTENSION
+        });
+        if extends {
+            return;
+        }
         *self.inner.wanted.borrow_mut() = Some(Grant { shards, until });
         self.start();
     }
@@ -118,14 +132,13 @@
 impl Inner {
     /// Sends the latest grant until it is installed or has ended.
     async fn send_all(&self) {
-        let mut conn = None;
         loop {
             let version = self.version.get();
             let Some(grant) = self.wanted.borrow().clone() else { break };
             if grant.until <= clock::now() && !grant.shards.is_empty() {
                 break;
             }
-            let sent = timeout(LIMIT, self.send(&mut conn, &grant)).await;
+            let sent = timeout(LIMIT, self.send(&grant)).await;
             if sent == Ok(Some(())) {
                 let shards = grant.shards.into_iter().collect();
                 *self.installed.borrow_mut() = shards;
@@ -134,23 +147,14 @@
                     break;
                 }
             } else {
-                conn = None;
                 monoio::time::sleep(RETRY).await;
             }
         }
         self.sending.set(false);
     }
 
-    async fn send(
-        &self,
-        conn: &mut Option<Conn>,
-        grant: &Grant,
-    ) -> Option<()> {
-        if conn.is_none() {
-            let stream = TcpStream::connect_addr(self.addr).await.ok()?;
-            *conn = Some(Conn::new(stream));
-        }
-        let conn = conn.as_mut()?;
+    async fn send(&self, grant: &Grant) -> Option<()> {
+        let mut conn = self.connect().await?;
         let shards = grant.shards.iter();
         let document = Document {
             until: grant.until.0,
@@ -164,7 +168,22 @@
         request_line(out, &put, "/lagoondyke/grants");
         put_header(out, "host", self.addr.to_string().as_bytes());
         put_header(out, "content-type", b"application/json");
-        let response = exchange(conn, &put, body, ANSWER_MAX).await;
-        response.ok()?.status.is_success().then_some(())
+        let response = exchange(&mut conn, &put, body, ANSWER_MAX).await;
+        let response = response.ok()?;
+        if response.keep {
+            *self.conn.borrow_mut() = Some(conn);
+        }
+        response.status.is_success().then_some(())
+    }
+
+    async fn connect(&self) -> Option<Conn> {
+        let kept = self.conn.borrow_mut().take();
+        if let Some(mut conn) = kept
+            && conn.is_idle().await
+        {
+            return Some(conn);
+        }
+        let stream = TcpStream::connect_addr(self.addr).await.ok()?;
+        Some(Conn::new(stream))
     }
 }
