--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -14,11 +14,13 @@
 
 use crate::clock;
 use crate::control::Udp;
+use crate::metrics::Metrics;
 use crate::peer_server;
 use crate::peers::TcpPeers;
 use crate::serve;
-use crate::shell::{Ports, Shell};
+use crate::shell::{Ports, Records, Shell};
 use crate::store::HttpStore;
+use crate::trace::Tracer;
 use crate::upstream::HttpUpstream;
 
 /// Pause after a failed accept, for example for lack of descriptors.
@@ -83,19 +85,25 @@
 ) -> io::Result<Shell> {
     let incarnation = Incarnation(rand::random());
     let node = Node::new(&settings, incarnation, rand::random(), clock::now());
-    let control = Udp::new(sockets.control)?;
-    let control = Rc::new(control);
+    let metrics = Metrics::new().map_err(io::Error::other)?;
+    let metrics = Rc::new(metrics);
+    let control = Rc::new(Udp::new(sockets.control, Rc::clone(&metrics))?);
     let name = settings.addr.to_string();
     let ports = Ports {
         store: Rc::new(HttpStore::new(settings.store)),
-        upstream: Rc::new(HttpUpstream::new(&settings.upstream, name)),
+        upstream: Rc::new(HttpUpstream::new(&settings.upstream, &name)),
         peers: Rc::new(TcpPeers::new()),
         control: Rc::clone(&control) as Rc<dyn crate::ports::Control>,
     };
     slog::info!(log, "node starts";
         "addr" => %settings.addr, "listen" => %settings.listen,
         "incarnation" => incarnation.0);
-    let shell = Shell::new(settings, node, ports, log);
+    let tracer = match &settings.log.traces {
+        Some(file) => Tracer::open(file, settings.addr.to_string())?,
+        None => Tracer::default(),
+    };
+    let records = Records { log, metrics, tracer };
+    let shell = Shell::new(settings, node, ports, records);
     control.listen(&shell);
     peer_server::listen(sockets.peers, &shell);
     serve::listen(sockets.callers, &shell);
