--- a/crates/core/src/jsonc.rs
+++ b/crates/core/src/jsonc.rs
@@ -465,8 +465,9 @@
     }
 
     fn syntax_error(&self, error: &serde_json::Error) -> JsoncError {
-        let offset = self.offset(error);
-        let message = if self.plain.trim_ascii().is_empty() {
+        let empty = self.plain.trim_ascii().is_empty();
+        let offset = if empty { 0 } else { self.offset(error) };
+        let message = if empty {
             "text has no content".to_owned()
         } else if error.is_eof() {
             format!("text ends too early: {}", bare(error))
@@ -631,24 +632,24 @@
     if let Err(e) = std::str::from_utf8(text) {
         return Err(fault(e.valid_up_to(), "text is not UTF-8"));
     }
-    let mut strip = CommentSettings::c_style().strip_comments(text);
+    let comments = CommentSettings::c_style();
     let mut plain = Vec::with_capacity(text.len());
-    let mut byte = [0];
-    // One byte at a time, since the reader does not tell where it failed.
-    loop {
-        match strip.read(&mut byte) {
-            Ok(0) => return Ok(plain),
-            Ok(_) => plain.push(byte[0]),
-            Err(_) if plain.len() < text.len() => {
-                let at = plain.len().saturating_sub(1);
-                return Err(fault(at, "`/` does not begin a comment"));
-            }
-            Err(_) => {
-                let message = "text ends within a string or comment";
-                return Err(fault(text.len().saturating_sub(1), message));
-            }
-        }
+    if comments.strip_comments(text).read_to_end(&mut plain).is_ok() {
+        return Ok(plain);
     }
+    // The reader does not tell where it failed, so it is read again one byte
+    // at a time.
+    let mut strip = comments.strip_comments(text);
+    let mut count = 0;
+    while strip.read(&mut [0]).is_ok() {
+        count += 1;
+    }
+    Err(if count < text.len() {
+        fault(count.saturating_sub(1), "`/` does not begin a comment")
+    } else {
+        let end = text.len().saturating_sub(1);
+        fault(end, "text ends within a string or comment")
+    })
 }
 
 /// Line and column, in characters, of the byte at `offset`.
