--- /dev/null
+++ b/crates/cli/tests/operator/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the operators' command.
+
+mod command;
+mod support;
+mod updates;
--- a/crates/cli/tests/updates.rs
+++ b/crates/cli/tests/operator/updates.rs
@@ -1,8 +1,7 @@
 //! Guards against updates that are repeated, reported wrongly after a lost
 //! answer, or that undo someone else's change.
 
-mod support;
-
+use crate::support::{FakeNodes, FakeStore, Fault, addr, outside};
 use lagoondyke_cli::apply::apply;
 use lagoondyke_cli::exit::Exit;
 use lagoondyke_cli::group::Reset;
@@ -11,7 +10,6 @@
 use lagoondyke_core::id::{Epoch, NodeAddr};
 use lagoondyke_core::record::Record;
 use quickcheck::{Arbitrary, Gen};
-use support::{FakeNodes, FakeStore, Fault, addr, outside};
 
 const NAME: &str = "config/jutland";
 const SEED: u64 = 0x5e77_1e00;
