--- a/crates/cli/tests/operator/updates.rs
+++ b/crates/cli/tests/operator/updates.rs
@@ -8,7 +8,7 @@
 use lagoondyke_cli::{domain, edit};
 use lagoondyke_core::config::Config;
 use lagoondyke_core::id::{Epoch, NodeAddr};
-use lagoondyke_core::record::Record;
+use lagoondyke_core::record::{Record, Tenure};
 use quickcheck::{Arbitrary, Gen};
 
 const NAME: &str = "config/jutland";
@@ -224,6 +224,7 @@
         leader: NodeAddr(addr(1)),
         standbys: vec![NodeAddr(addr(2)), NodeAddr(addr(3))],
         writer: 5,
+        tenure: Tenure::Led,
     };
     let none: &[u16] = &[];
     // Confirmed as lost, still alive, new leader, fault, outcome.
@@ -263,6 +264,7 @@
         }
         assert_eq!((now.epoch, now.leader.0), (Epoch(8), addr(leader)));
         assert!(now.standbys.is_empty());
-        assert_eq!((now.writer, store.updates.get()), (77, 1));
+        assert_eq!((now.writer, now.tenure), (77, Tenure::Ceded));
+        assert_eq!(store.updates.get(), 1);
     }
 }
