Ask for a key's owner in a request that is not a caller's

A node takes any request with Lagoondyke-Service for a caller's, so the service is now in the path and the key alone in a header. No node serves this path yet.

Ran: cargo test -p lagoondyke-cli; by hand: apply, domain, drain and group reset against four nodes and the stand-ins on loopback.

--- a/crates/cli/src/group.rs
+++ b/crates/cli/src/group.rs
@@ -104,7 +104,7 @@
         let version = change.make(outside)?;
         writeln!(
             out,
-            "{name}: version {version}: {} leads in epoch {}",
+            "{name}: version {version} names {} as leader in epoch {}",
             new.leader, new.epoch
         )?;
         Ok(())
--- a/crates/cli/src/http.rs
+++ b/crates/cli/src/http.rs
@@ -10,6 +10,7 @@
 use http::header::{CONTENT_LENGTH, ETAG, HOST, IF_MATCH, IF_NONE_MATCH};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Version};
 use lagoondyke_core::config::DOCUMENT_MAX;
+use lagoondyke_core::jsonc::is_name;
 use lagoondyke_core::status::{Located, Status};
 use monoio::io::sink::SinkExt;
 use monoio::io::stream::Stream;
@@ -296,12 +297,15 @@
         service: &str,
         key: &str,
     ) -> Result<Located, CallError> {
-        let named = HeaderName::from_static("lagoondyke-service");
+        if !is_name(service) {
+            let message = format!("{service:?} does not name a service");
+            return Err(CallError::NotSent(message));
+        }
+        // The key is in a header, as in requests, so it needs no escapes.
         let keyed = HeaderName::from_static("lagoondyke-key");
-        let answer = Call::new(node, Method::GET, "/lagoondyke/owner")
-            .header(named, service)?
-            .header(keyed, key)?
-            .run()?;
+        let path = format!("/lagoondyke/owner/{service}");
+        let answer =
+            Call::new(node, Method::GET, path).header(keyed, key)?.run()?;
         decode(&answer)
     }
 
--- a/crates/cli/tests/operator/command.rs
+++ b/crates/cli/tests/operator/command.rs
@@ -129,8 +129,15 @@
         }
         server.join().unwrap();
     }
-    let control = HttpNodes.locate(addr(9), "katalog", "a\nb");
-    assert!(matches!(control, Err(CallError::NotSent(_))));
+    for (service, key) in [("katalog", "a\nb"), ("a b", "k"), ("../x", "k")] {
+        let got = HttpNodes.locate(addr(9), service, key);
+        assert!(matches!(got, Err(CallError::NotSent(_))));
+    }
+    let (addr, server) = serve(vec![answer("200 OK", "{\"known\": true}")]);
+    assert!(HttpNodes.locate(addr, "katalog", "a b").unwrap().known);
+    let request = server.join().unwrap().remove(0).to_lowercase();
+    assert!(request.starts_with("get /lagoondyke/owner/katalog http/1.1\r\n"));
+    assert!(request.contains("lagoondyke-key: a b\r\n"), "{request}");
 }
 
 fn lagoondyke(line: &[&str]) -> Output {
--- a/crates/core/src/status.rs
+++ b/crates/core/src/status.rs
@@ -1,9 +1,8 @@
 //! The operator's view of a node.
 //!
-//! `GET /lagoondyke/status` answers with a [`Status`] as JSON, and
-//! `GET /lagoondyke/owner`, with the headers `Lagoondyke-Service` and
-//! `Lagoondyke-Key`, with a [`Located`]; the `lagoondyke` command renders
-//! both.
+//! `GET /lagoondyke/status` answers with a [`Status`] as JSON. The
+//! `lagoondyke` command renders it, and a [`Located`], for which it asks
+//! `GET /lagoondyke/owner/<service>` with the header `Lagoondyke-Key`.
 
 use serde::{Deserialize, Serialize};
 
