--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -8,6 +8,8 @@
     OptionParser, ParseFailure, Parser, ShellComp, construct, long, positional,
 };
 
+use lagoondyke_core::jsonc::is_name;
+
 use crate::exit::{EXIT_HELP, Exit};
 
 /// Widest line of a help text.
@@ -239,8 +241,13 @@
     )
 }
 
+/// What a wrong name is answered with.
+const NAME: &str = "must be 1 to 63 lowercase letters, digits and dashes";
+
 fn service() -> impl Parser<String> {
-    positional::<String>("SERVICE").help("Name of the service")
+    positional::<String>("SERVICE")
+        .help("Name of the service")
+        .guard(|name| is_name(name), NAME)
 }
 
 fn key() -> impl Parser<String> {
@@ -284,7 +291,9 @@
 }
 
 fn operator() -> impl Parser<String> {
-    positional::<String>("OPERATOR").help("Name of the operator")
+    positional::<String>("OPERATOR")
+        .help("Name of the operator")
+        .guard(|name| is_name(name), NAME)
 }
 
 fn show() -> impl Parser<Command> {
@@ -358,7 +367,8 @@
     let store = store();
     let operator = long("operator")
         .help("Name of the operator")
-        .argument::<String>("NAME");
+        .argument::<String>("NAME")
+        .guard(|name| is_name(name), NAME);
     let wait = wait();
     let domain =
         positional::<String>("DOMAIN").help("Name of the failure domain");
--- a/crates/cli/tests/operator/command.rs
+++ b/crates/cli/tests/operator/command.rs
@@ -156,10 +156,11 @@
     let addr = closed.local_addr().unwrap().to_string();
     drop(closed);
     let good = "examples/jutland.jsonc";
-    let cases: [(&[&str], i32, &str); 9] = [
+    let cases: [(&[&str], i32, &str); 10] = [
         (&["--help"], 0, ""),
         (&["check", good], 0, ""),
         (&["check", "Cargo.toml"], 1, "1 of 1 files are not valid"),
+        (&["show", "--store", &addr, "../x"], 2, "lowercase letters"),
         (&["check"], 2, "expected at least one file"),
         (&["apply", good], 2, "--store"),
         (&["apply", "--store", &addr, "--wait", good], 2, "--node ADDR"),
