--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -5,6 +5,7 @@
 
 use lagoondyke_core::config::Config;
 use lagoondyke_core::node::config_name;
+use lagoondyke_core::record::object_name;
 
 use crate::exit::{Exit, Failure};
 use crate::outside::{Object, Outside, Store, StoreError};
@@ -154,6 +155,7 @@
         match Config::parse(&object.value, None) {
             Ok(old) => {
                 Config::parse(text, Some(&old)).map_err(|e| invalid(&e))?;
+                note_returning(&old, &config, outside, out)?;
             }
             // Nodes refuse such a document too, and run on an older one.
             Err(e) => writeln!(out, "{name}: current is not valid: {e}")?,
@@ -165,6 +167,30 @@
     Ok(version)
 }
 
+/// Notes services that are new to the document but have run before. What was
+/// fixed then is no longer in the document, so it cannot be checked.
+fn note_returning(
+    old: &Config,
+    new: &Config,
+    outside: &Outside<'_>,
+    out: &mut dyn Write,
+) -> Result<(), Failure> {
+    for name in new.services.keys() {
+        if old.services.contains_key(name) {
+            continue;
+        }
+        if outside.store()?.read(&object_name(name, 0))?.is_some() {
+            writeln!(
+                out,
+                "note: service {name} ran before; keyed, shards and groups \
+                 must be as they were, or nodes that missed its removal \
+                 refuse this document"
+            )?;
+        }
+    }
+    Ok(())
+}
+
 /// The failure for a document that cannot be used.
 pub(crate) fn invalid(error: &impl std::fmt::Display) -> Failure {
     let message = format!("{error}; nothing was changed");
--- a/crates/cli/tests/operator/main.rs
+++ b/crates/cli/tests/operator/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the operators' command.
 
 mod command;
+mod pages;
 mod support;
 mod updates;
--- a/crates/cli/tests/operator/updates.rs
+++ b/crates/cli/tests/operator/updates.rs
@@ -114,6 +114,28 @@
     assert_eq!(try_apply(&store, &document(9), None), Ok(2));
 }
 
+#[test]
+fn a_service_that_ran_before_is_noted() {
+    let text = String::from_utf8(document(1)).unwrap();
+    let two = text.replace(
+        "\"services\": {",
+        "\"services\": { \"udlaan\": { \"keyed\": false },",
+    );
+    for (ran, expected) in [(false, 0), (true, 1)] {
+        let store = FakeStore::with(NAME, &document(1), &[]);
+        if ran {
+            store.write("groups/udlaan/0", b"{}");
+        }
+        let nodes = FakeNodes::default();
+        let mut out = Vec::new();
+        let outside = outside(&store, &nodes);
+        apply(two.as_bytes(), None, &outside, &mut out).unwrap();
+        let out = String::from_utf8(out).unwrap();
+        let notes = out.matches("note: service udlaan ran before").count();
+        assert_eq!(notes, expected, "{out}");
+    }
+}
+
 fn random_fault(g: &mut Gen) -> Fault {
     let others = |g: &mut Gen| -> Vec<Vec<u8>> {
         let count = u8::arbitrary(g) % 3;
--- /dev/null
+++ b/crates/core/tests/configuration.rs
@@ -0,0 +1,122 @@
+//! Guards against a node whose configuration goes back, takes effect in
+//! part, or is lost during an outage of the store.
+
+use lagoondyke_core::clock::Millis;
+use lagoondyke_core::effect::{Effect, Notice, StoreOp};
+use lagoondyke_core::event::{Event, StoreOutcome};
+use lagoondyke_core::id::{CallOwner, Incarnation};
+use lagoondyke_core::node::Node;
+use lagoondyke_core::settings::Settings;
+
+const SETTINGS: &str =
+    include_str!("../../../examples/node-kalamaria-1.jsonc");
+const DOCUMENT: &str = include_str!("../../../examples/thessaloniki.jsonc");
+
+/// A node and its clock.
+struct Bench {
+    node: Node,
+    now: Millis,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let settings = Settings::parse(SETTINGS).unwrap();
+        let now = Millis(1_000);
+        let node = Node::new(&settings, Incarnation(1), 1, now);
+        Self { node, now }
+    }
+
+    fn step(&mut self, event: Event) -> Vec<Effect> {
+        let mut out = Vec::new();
+        self.now = self.now.plus(25);
+        self.node.step(event, self.now, &mut out);
+        out
+    }
+
+    /// Hands over a document and returns why it was refused, if it was.
+    fn fetch(&mut self, version: u64, text: &str) -> Option<String> {
+        let document = text.as_bytes().to_vec();
+        let effects = self.step(Event::Fetched { version, document });
+        effects.into_iter().find_map(|effect| match effect {
+            Effect::Notice(Notice::Rejected { error, .. }) => Some(error),
+            _ => None,
+        })
+    }
+
+    fn version(&self) -> u64 {
+        assert_eq!(self.node.status(self.now).config, self.node.document().0);
+        self.node.document().0
+    }
+}
+
+#[test]
+fn versions_never_decrease() {
+    let mut bench = Bench::new();
+    let newer = DOCUMENT.replace("\"settlement\": 4", "\"settlement\": 9");
+    for (offered, text, in_force) in [
+        (5, DOCUMENT, 5),
+        (4, &newer, 5),
+        (5, &newer, 5),
+        (9, &newer, 9),
+        (8, DOCUMENT, 9),
+        (0, DOCUMENT, 9),
+    ] {
+        assert_eq!(bench.fetch(offered, text), None);
+        assert_eq!(bench.version(), in_force);
+        let settlement = if in_force == 5 { 4 } else { 9 };
+        let config = bench.node.config().unwrap();
+        let partners = &config.services["vendor-portal"].partners;
+        assert_eq!(partners["settlement"], settlement);
+    }
+}
+
+#[test]
+fn documents_that_cannot_be_used_leave_the_last_one_in_force() {
+    let mut bench = Bench::new();
+    assert_eq!(bench.fetch(5, DOCUMENT), None);
+    let before = bench.node.config().cloned();
+    let cases = [
+        ("\"shards\": 256", "\"shards\": 128", "cannot change from 256"),
+        ("\"keyed\": true", "\"keyed\": false", "cannot change from true"),
+        ("\"hedge\"", "\"hegde\"", "did you mean \"hedge\"?"),
+        ("\"thessaloniki\"", "\"jutland\"", "is of \"thessaloniki\""),
+        ("\"format\": 1", "\"format\": 2", "reads format 1"),
+        ("\n}", "\n", "ends too early"),
+    ];
+    for (version, (from, to, error)) in (6..).zip(cases) {
+        assert!(DOCUMENT.contains(from), "{from}");
+        let refused = bench.fetch(version, &DOCUMENT.replacen(from, to, 1));
+        let refused = refused.unwrap_or_default();
+        assert!(refused.contains(error), "{to}: {refused}");
+        assert_eq!(bench.version(), 5);
+        assert_eq!(bench.node.config(), before.as_ref());
+        assert_eq!(bench.node.document().1, DOCUMENT.as_bytes());
+    }
+    assert_eq!(bench.fetch(20, DOCUMENT), None, "a valid one still follows");
+    assert_eq!(bench.version(), 20);
+}
+
+#[test]
+fn the_first_document_is_read_again_until_the_store_answers() {
+    let mut bench = Bench::new();
+    let mut reads = 0;
+    for round in 0..200 {
+        for effect in bench.step(Event::Tick) {
+            let Effect::Store { call, op } = effect else { continue };
+            let own = call.owner == CallOwner::Config;
+            if !own || !matches!(op, StoreOp::Read { .. }) {
+                continue;
+            }
+            reads += 1;
+            let value = DOCUMENT.as_bytes().to_vec();
+            let outcome = match reads {
+                1 => StoreOutcome::Unavailable,
+                2 => StoreOutcome::Missing,
+                _ => StoreOutcome::Read { version: 7, value },
+            };
+            assert_eq!(bench.version(), 0, "round {round}");
+            bench.step(Event::Stored { call, outcome });
+        }
+    }
+    assert_eq!((bench.version(), reads), (7, 3));
+}
