--- a/crates/cli/src/render.rs
+++ b/crates/cli/src/render.rs
@@ -1,5 +1,6 @@
 //! Tables and explanations.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 use std::net::SocketAddr;
 
@@ -60,6 +61,7 @@
         });
     }
     let mut out = table_with_notes(&lines);
+    let _ = writeln!(out, "{}", summary(rows));
     for (node, answer) in rows {
         let Ok(status) = answer else { continue };
         if status.leads {
@@ -70,6 +72,34 @@
     out
 }
 
+/// How many nodes are in which state, and their configuration versions.
+fn summary(rows: &[Row]) -> String {
+    let mut states: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut versions = BTreeSet::new();
+    for (_, answer) in rows {
+        let state = match answer {
+            Ok(status) => {
+                versions.insert(status.config);
+                state(status)
+            }
+            Err(_) => "without an answer",
+        };
+        *states.entry(state).or_default() += 1;
+    }
+    let states: Vec<String> =
+        states.iter().map(|(name, count)| format!("{count} {name}")).collect();
+    let versions: Vec<String> =
+        versions.iter().map(ToString::to_string).collect();
+    let mut text = format!("{} nodes: {}", rows.len(), states.join(", "));
+    if let [one] = versions.as_slice() {
+        let _ = write!(text, "; configuration {one}");
+    } else if !versions.is_empty() {
+        let list = versions.join(", ");
+        let _ = write!(text, "; configurations differ: {list}");
+    }
+    text
+}
+
 /// A table in which a row of one cell is a note across all columns.
 fn table_with_notes(rows: &[Vec<String>]) -> String {
     let full: Vec<Vec<String>> =
--- a/crates/cli/src/watch.rs
+++ b/crates/cli/src/watch.rs
@@ -24,21 +24,9 @@
     out: &mut dyn Write,
 ) -> Result<(), Failure> {
     let start = outside.timer.now();
-    let mut behind = nodes.to_vec();
+    let mut left = nodes.to_vec();
     loop {
-        let answers = outside.nodes.statuses(&behind);
-        let mut left = Vec::new();
-        let mut last = Vec::new();
-        for (&node, answer) in behind.iter().zip(answers) {
-            let state = match answer {
-                Ok(status) if status.config >= version => continue,
-                Ok(status) => format!("{node} has version {}", status.config),
-                Err(e) => format!("{node} is {e}"),
-            };
-            left.push(node);
-            last.push(state);
-        }
-        behind = left;
+        let behind = behind(version, &left, outside);
         let spent = outside.timer.now().saturating_sub(start);
         if behind.is_empty() {
             let count = nodes.len();
@@ -51,17 +39,38 @@
             return Ok(());
         }
         if spent >= limit {
+            let states: Vec<String> =
+                behind.into_iter().map(|(_, state)| state).collect();
             let message = format!(
                 "version {version} is not in force everywhere after {} s: {}",
                 limit.as_secs(),
-                last.join("; ")
+                states.join("; ")
             );
             return Err(Failure::new(Exit::Late, message));
         }
+        left = behind.into_iter().map(|(node, _)| node).collect();
         outside.timer.pause(ROUND);
     }
 }
 
+/// The nodes that do not report at least `version`, and what each answered.
+fn behind(
+    version: u64,
+    nodes: &[SocketAddr],
+    outside: &Outside<'_>,
+) -> Vec<(SocketAddr, String)> {
+    let mut behind = Vec::new();
+    for (&node, answer) in nodes.iter().zip(outside.nodes.statuses(nodes)) {
+        let state = match answer {
+            Ok(status) if status.config >= version => continue,
+            Ok(status) => format!("{node} has version {}", status.config),
+            Err(e) => format!("{node} is {e}"),
+        };
+        behind.push((node, state));
+    }
+    behind
+}
+
 /// Waits until a node that drains accepts no more calls, for at most
 /// `limit`.
 ///
--- a/crates/cli/tests/operator/command.rs
+++ b/crates/cli/tests/operator/command.rs
@@ -304,6 +304,10 @@
     assert!(lines[1].contains("itself") && lines[1].ends_with("ready"));
     assert!(lines[1].contains("16 (-1)"), "{text}");
     assert_eq!(lines[2], "127.0.0.1:2  not reachable: refused");
+    assert_eq!(
+        lines[3],
+        "2 nodes: 1 ready, 1 without an answer; configuration 4"
+    );
     assert!(text.contains("127.0.0.1:71  vejle   16"), "{text}");
     let json = [&line[..2], &["--json"]].concat();
     let (exit, text) = run_line(&json, &nodes);
--- a/crates/core/src/jsonc.rs
+++ b/crates/core/src/jsonc.rs
@@ -7,6 +7,7 @@
 //! written. The field `format` may be present in every document; its only
 //! value at present is [`FORMAT`].
 
+use std::borrow::Cow;
 use std::collections::HashSet;
 use std::io::Read;
 use std::ops::Range;
@@ -210,7 +211,7 @@
 pub fn fields(text: &[u8], limit: usize) -> Result<Vec<String>, JsoncError> {
     let text = Text::new(text, limit)?;
     let top = text.places.iter().skip(1).filter(|p| p.parent == 0);
-    Ok(top.map(|p| p.name.clone()).collect())
+    Ok(top.map(|p| p.name.clone().into_owned()).collect())
 }
 
 /// Offsets of the value of the field at `path`, or `None` if the text has no
@@ -259,11 +260,11 @@
 
 /// One field or array element of a text.
 #[derive(Debug)]
-struct Place {
+struct Place<'a> {
     /// Index of the object or array that contains it; the root contains
     /// itself.
     parent: usize,
-    name: String,
+    name: Cow<'a, str>,
     /// Offset of its key, or of its value if it has no key.
     key: usize,
     /// Offsets of its value.
@@ -276,20 +277,25 @@
 /// A text that is valid JSON, and where its fields are.
 #[derive(Debug)]
 struct Text<'a> {
-    written: &'a [u8],
+    written: &'a str,
     /// The text with each byte of a comment replaced by a space, so that
     /// offsets in both are the same.
     plain: Vec<u8>,
-    places: Vec<Place>,
+    places: Vec<Place<'a>>,
 }
 
 impl<'a> Text<'a> {
-    fn new(written: &'a [u8], limit: usize) -> Result<Self, JsoncError> {
-        let size = written.len();
+    fn new(bytes: &'a [u8], limit: usize) -> Result<Self, JsoncError> {
+        let size = bytes.len();
         if size > limit {
             return Err(JsoncError::TooLarge { size, limit });
         }
-        let plain = blank_comments(written)?;
+        let written = std::str::from_utf8(bytes).map_err(|e| {
+            let (line, column) = position(bytes, e.valid_up_to());
+            let message = "text is not UTF-8".to_owned();
+            JsoncError::Syntax { line, column, message }
+        })?;
+        let plain = blank_comments(bytes)?;
         let mut text = Self { written, plain, places: Vec::new() };
         serde_json::from_slice::<IgnoredAny>(&text.plain)
             .map_err(|e| text.syntax_error(&e))?;
@@ -414,7 +420,7 @@
 
     /// Line and column of the text as written.
     fn position(&self, offset: usize) -> (usize, usize) {
-        position(self.written, offset)
+        position(self.written.as_bytes(), offset)
     }
 
     fn error_at(
@@ -510,18 +516,18 @@
 
 /// Finds the fields of a text that is valid JSON.
 #[derive(Debug)]
-struct Walk<'a> {
-    text: &'a Text<'a>,
-    places: Vec<Place>,
+struct Walk<'t, 'a> {
+    text: &'t Text<'a>,
+    places: Vec<Place<'a>>,
     /// Indices of the objects and arrays that are open.
     open: Vec<usize>,
     /// A key whose value has not begun.
-    key: Option<(String, usize)>,
-    seen: HashSet<(usize, String)>,
+    key: Option<(Cow<'a, str>, usize)>,
+    seen: HashSet<(usize, Cow<'a, str>)>,
 }
 
-impl<'a> Walk<'a> {
-    fn new(text: &'a Text<'a>) -> Self {
+impl<'t, 'a> Walk<'t, 'a> {
+    fn new(text: &'t Text<'a>) -> Self {
         Self {
             text,
             places: Vec::new(),
@@ -531,7 +537,7 @@
         }
     }
 
-    fn run(mut self) -> Result<Vec<Place>, JsoncError> {
+    fn run(mut self) -> Result<Vec<Place<'a>>, JsoncError> {
         let bytes = &self.text.plain;
         let mut at = 0;
         while at < bytes.len() {
@@ -574,11 +580,16 @@
     }
 
     fn set_key(&mut self, at: usize, end: usize) -> Result<(), JsoncError> {
-        let bytes = &self.text.plain[at..end];
-        let name: String = serde_json::from_slice(bytes).map_err(|e| {
-            let (line, column) = self.text.position(at);
-            JsoncError::Syntax { line, column, message: bare(&e) }
-        })?;
+        let quoted = &self.text.written[at..end];
+        // Most keys have no escapes and need no copy.
+        let name = if quoted.contains('\\') {
+            Cow::Owned(serde_json::from_str(quoted).map_err(|e| {
+                let (line, column) = self.text.position(at);
+                JsoncError::Syntax { line, column, message: bare(&e) }
+            })?)
+        } else {
+            Cow::Borrowed(&quoted[1..quoted.len() - 1])
+        };
         let parent = self.open.last().copied().unwrap_or(0);
         if !self.seen.insert((parent, name.clone())) {
             return Err(self.twice(parent, &name, at));
@@ -616,8 +627,8 @@
             index = self.places[parent].count;
             self.places[parent].count += 1;
         }
-        let (name, key) =
-            self.key.take().unwrap_or_else(|| (index.to_string(), start));
+        let element = || (Cow::Owned(index.to_string()), start);
+        let (name, key) = self.key.take().unwrap_or_else(element);
         self.places.push(Place { parent, name, key, start, end, count: 0 });
         self.places.len() - 1
     }
@@ -629,9 +640,6 @@
         let (line, column) = position(text, offset);
         JsoncError::Syntax { line, column, message: message.to_owned() }
     };
-    if let Err(e) = std::str::from_utf8(text) {
-        return Err(fault(e.valid_up_to(), "text is not UTF-8"));
-    }
     let comments = CommentSettings::c_style();
     let mut plain = Vec::with_capacity(text.len());
     if comments.strip_comments(text).read_to_end(&mut plain).is_ok() {
