Factor the protocol's rules into pure functions; split long datagrams

Plans, maps and member details could exceed 1,200 bytes and would have been lost without a trace. They now travel in parts that are acted on only when complete.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -85,9 +85,14 @@
     pub suspects: Vec<Fingerprint>,
 }
 
-/// What a leader must know of a member once.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// What a leader must know of a member once. Sent in several heartbeats of
+/// the same `sent` if it exceeds one datagram.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Detail {
+    /// Number of this part, from 0.
+    pub part: u8,
+    /// Number of parts.
+    pub parts: u8,
     /// The member's failure domain.
     pub domain: String,
     /// The upstream's name, for its share in the configuration.
@@ -97,7 +102,7 @@
     /// What the member held under its last plan; tells a new leader where
     /// shards were.
     pub held: Vec<Shard>,
-    /// Hot keys among `held` that have a shard of their own.
+    /// Hot keys of the plan that have a shard of their own.
     pub pins: Vec<Pin>,
     /// Requests that the last leader declared harmful.
     pub poison: Vec<Fingerprint>,
@@ -146,17 +151,22 @@
     pub plan: Option<Plan>,
 }
 
-/// What a member may serve.
+/// What a member may serve. Sent in several leases if it exceeds one
+/// datagram.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Plan {
     /// Grows with each change of any member's plan under one leader.
     pub version: u32,
+    /// Number of this part, from 0.
+    pub part: u8,
+    /// Number of parts.
+    pub parts: u8,
     /// Shards granted, by the version that granted them.
     pub grants: Vec<Grants>,
     /// Shards still held that the member must finish and release.
     pub revoked: Vec<Shard>,
-    /// All hot keys of the group that have a shard of their own. A member
-    /// must not serve such a key under its hashed shard.
+    /// All hot keys with a shard of their own whose shard or hashed shard
+    /// the member holds. It must not serve such a key under the latter.
     pub pins: Vec<Pin>,
     /// The leader's standbys, to be asked when the leader falls silent.
     pub standbys: Vec<NodeAddr>,
@@ -208,8 +218,9 @@
     pub known: u32,
 }
 
-/// Where the shards of a group are.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// Where the shards of a group are. Sent in several datagrams if it exceeds
+/// one; lists continue from part to part.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct GroupMap {
     /// The group.
     pub group: GroupId,
@@ -217,13 +228,17 @@
     pub epoch: Epoch,
     /// The leader's plan version.
     pub version: u32,
+    /// Number of this part, from 0.
+    pub part: u8,
+    /// Number of parts.
+    pub parts: u8,
     /// The members with a lease that take new work.
     pub members: Vec<MapMember>,
     /// Runs of consecutive shards of this group and the index of their
     /// owner in `members`; `None` while a shard has no owner.
     pub owners: Vec<OwnerRun>,
     /// Hot keys with a shard of their own, and the owner's index.
-    pub pins: Vec<(KeyHash, Shard, Option<u8>)>,
+    pub pins: Vec<(KeyHash, Shard, Option<u16>)>,
 }
 
 /// A member in a [`GroupMap`].
@@ -246,7 +261,7 @@
     /// Number of shards in the run.
     pub count: u16,
     /// Index of the owner in `members`.
-    pub owner: Option<u8>,
+    pub owner: Option<u16>,
 }
 
 /// The receiver does not lead the group.
--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -8,11 +8,14 @@
 //! one question for the request path: may this node serve this key now?
 
 pub(crate) mod book;
+pub mod hot;
 pub(crate) mod join;
 pub(crate) mod leader;
 pub(crate) mod member;
+pub(crate) mod parts;
 pub mod place;
 pub(crate) mod poison;
+pub mod rules;
 pub(crate) mod standby;
 
 use std::collections::BTreeMap;
@@ -26,7 +29,7 @@
 use crate::group::join::Join;
 use crate::group::leader::{Facts, Leader};
 use crate::group::member::Member;
-use crate::group::standby::{SPAN, Standby};
+use crate::group::standby::Standby;
 use crate::id::{
     CallId, Epoch, Fence, Fingerprint, GroupId, Incarnation, KeyHash,
     NodeAddr, Shard,
@@ -47,10 +50,6 @@
 /// it hands over, in milliseconds.
 const REST: u64 = 5_000;
 
-/// Time that the heir of a leaving leader has before other nodes try to
-/// take over, in milliseconds.
-const HEIR_PAUSE: u64 = 500;
-
 /// Interval between a leader's reports to itself, in milliseconds.
 const OWN: u64 = HEARTBEAT / 2;
 
@@ -312,8 +311,9 @@
             self.member.heartbeat(&self.seat, place.id, load, leaving, now);
         let end = leader.authority(record, place.book.pending(), now);
         let addr = self.seat.addr;
-        let lease = leader.heartbeat(addr, &beat, end, facts, out);
-        self.take_lease(addr, &lease, facts.spec, now, out);
+        for lease in leader.heartbeat(addr, &beat, end, facts, out) {
+            self.take_lease(addr, &lease, facts.spec, now, out);
+        }
     }
 
     fn take_lease(
@@ -369,13 +369,13 @@
         if !place.book.idle(now) {
             return;
         }
-        let free = self.standby.free(now);
+        let free = now >= self.standby.bound;
         let named = place.book.record().is_some_and(|r| {
             r.standbys.contains(&self.seat.addr) || r.leader == self.seat.addr
         });
         let quiet = self.member.silent(now) >= READ;
         let unserved = quiet || !self.member.valid(now);
-        let rival = free && unserved && (named || self.standby.asked());
+        let rival = free && unserved && (named || self.standby.asked);
         let pause = if rival { READ_SOON } else { READ };
         let since = place.book.read_at().map_or(u64::MAX, |t| now.since(t));
         let due = since >= pause && (quiet || rival);
@@ -490,35 +490,17 @@
             return;
         }
         let Some(place) = &mut self.place else { return };
-        place.orphan = match record.tenure {
-            Tenure::Ceded => now.plus(SPAN),
-            _ => now,
-        };
+        place.orphan = rules::orphan_end(record, now);
         place.fresh = record.tenure == Tenure::Vacant;
-        let mut next = record.clone();
-        next.epoch = Epoch(record.epoch.0.max(self.member.epoch.0) + 1);
-        next.leader = me;
-        next.tenure = Tenure::Led;
-        next.standbys.retain(|&n| n != me);
+        let next = rules::successor(record, me, self.member.epoch);
         place.book.write(next, now, out);
     }
 
     /// Whether this node may replace the leader in the record at `now`.
     fn may_claim(&self, record: &Record, now: Millis) -> bool {
         let Some(place) = &self.place else { return false };
-        let me = self.seat.addr;
-        let seen = place.seen.2;
-        match record.tenure {
-            Tenure::Vacant => true,
-            Tenure::Ceded => {
-                record.leader == me || now.since(seen) >= HEIR_PAUSE
-            }
-            Tenure::Led if !self.standby.free(now) => false,
-            // An earlier process at this address led, or an operator named
-            // this node: leases by that record may be valid.
-            Tenure::Led if record.leader == me => now >= seen.plus(SPAN),
-            Tenure::Led => record.standbys.contains(&me),
-        }
+        let (me, bound) = (self.seat.addr, self.standby.bound);
+        rules::may_claim(record, me, bound, place.seen.2, now)
     }
 
     /// Starts to lead.
@@ -615,9 +597,10 @@
         let Some(record) = place.book.record() else { return };
         let pending = place.book.pending();
         let end = leader.authority(record, pending, facts.now);
-        let lease = leader.heartbeat(from, beat, end, facts, out);
-        let message = Control::Lease(lease);
-        out.push(Effect::Send { to: from, message });
+        for lease in leader.heartbeat(from, beat, end, facts, out) {
+            let message = Control::Lease(lease);
+            out.push(Effect::Send { to: from, message });
+        }
         leader.push(end, facts, out);
     }
 
@@ -656,7 +639,7 @@
     ) {
         let me = self.seat.addr;
         let Some(place) = &mut self.place else { return };
-        let taking = place.book.pending().iter().any(|r| r.leader == me);
+        let taking = place.book.taking(me);
         let leads = self.leader.as_ref().is_some_and(|l| l.epoch >= ask.epoch);
         let known = self.member.epoch;
         if leads && ask.epoch >= known {
@@ -680,8 +663,10 @@
             self.redirect(from, out);
             return;
         };
-        let message = Control::Map(leader.map(now));
-        out.push(Effect::Send { to: from, message });
+        for part in leader.map(now) {
+            let message = Control::Map(part);
+            out.push(Effect::Send { to: from, message });
+        }
     }
 
     fn not_leader(&mut self, from: NodeAddr, not: &NotLeader, now: Millis) {
--- a/crates/core/src/group/book.rs
+++ b/crates/core/src/group/book.rs
@@ -1,10 +1,7 @@
 //! What a node knows of its group's record in the store.
 //!
-//! One call to the store is outstanding at a time. A write whose answer was
-//! lost may take effect at any later moment, even after a read that still
-//! shows the old record. It is settled only when the record's version moves
-//! past the version that the write was conditional on; until then the write
-//! stays in [`Book::pending`] and every decision allows for both outcomes.
+//! One call to the store is outstanding at a time. [`Known`] says how writes
+//! without an answer are settled.
 
 use rand::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -12,7 +9,8 @@
 use crate::clock::Millis;
 use crate::effect::{Effect, Notice, StoreOp};
 use crate::event::StoreOutcome;
-use crate::id::{CallId, CallOwner};
+use crate::group::rules::Known;
+use crate::id::{CallId, CallOwner, NodeAddr};
 use crate::record::Record;
 
 /// Pause after a failed call before the next one, in milliseconds.
@@ -23,19 +21,13 @@
 pub(crate) struct Book {
     name: String,
     rng: Pcg64Mcg,
-    /// Version of the last state read or written; 0 if there is no record.
-    version: u64,
-    record: Option<Record>,
-    /// Writes on the condition of `version` that may yet take effect.
-    pending: Vec<Record>,
+    known: Known,
     call: Option<(CallId, Option<Record>)>,
     calls: u32,
     /// The state must be read before the next decision.
     stale: bool,
     read_at: Option<Millis>,
     retry: Millis,
-    /// The record known was written by this process.
-    own: bool,
 }
 
 impl Book {
@@ -45,21 +37,18 @@
         Self {
             name,
             rng: Pcg64Mcg::seed_from_u64(seed),
-            version: 0,
-            record: None,
-            pending: Vec::new(),
+            known: Known::default(),
             call: None,
             calls,
             stale: true,
             read_at: None,
             retry: Millis(0),
-            own: false,
         }
     }
 
     /// The last record known.
     pub(crate) fn record(&self) -> Option<&Record> {
-        self.record.as_ref()
+        self.known.record.as_ref()
     }
 
     /// Number of the last store call.
@@ -69,18 +58,23 @@
 
     /// Whether the outstanding call creates the record.
     pub(crate) fn creating(&self) -> bool {
-        self.version == 0
+        self.known.version == 0
             && self.call.as_ref().is_some_and(|(_, r)| r.is_some())
     }
 
     /// Whether this process wrote the last record known.
     pub(crate) fn own(&self) -> bool {
-        self.own
+        self.known.own
+    }
+
+    /// Whether a write that makes `me` the leader may take effect.
+    pub(crate) fn taking(&self, me: NodeAddr) -> bool {
+        self.known.taking(me)
     }
 
     /// Writes that may have taken effect or may yet take effect.
     pub(crate) fn pending(&self) -> &[Record] {
-        &self.pending
+        &self.known.pending
     }
 
     /// When the record was last read or written.
@@ -125,10 +119,10 @@
         record.writer = self.rng.next_u64();
         let op = StoreOp::Update {
             name: self.name.clone(),
-            expect: self.version,
+            expect: self.known.version,
             value: record.encode(),
         };
-        self.pending.push(record.clone());
+        self.known.sent(record.clone());
         self.start(Some(record), op, out);
     }
 
@@ -155,16 +149,16 @@
                 true
             }
             (StoreOutcome::Written { version }, Some(record)) => {
-                self.became(version, Some(record), now);
+                self.became(version, record, now);
                 true
             }
             (StoreOutcome::Conflict, Some(record)) => {
-                self.withdraw(&record);
+                self.known.withdrawn(record.writer);
                 self.stale = true;
                 false
             }
             (StoreOutcome::Unavailable, Some(record)) => {
-                self.withdraw(&record);
+                self.known.withdrawn(record.writer);
                 self.retry = now.plus(RETRY);
                 false
             }
@@ -185,7 +179,7 @@
     ) -> bool {
         match Record::decode(value) {
             Ok(record) => {
-                self.became(version, Some(record), now);
+                self.became(version, record, now);
                 true
             }
             Err(e) => {
@@ -198,22 +192,10 @@
         }
     }
 
-    /// A write that certainly had no effect is no longer pending.
-    fn withdraw(&mut self, record: &Record) {
-        self.pending.retain(|r| r.writer != record.writer);
-    }
-
-    fn became(&mut self, version: u64, record: Option<Record>, now: Millis) {
+    fn became(&mut self, version: u64, record: Record, now: Millis) {
         self.stale = false;
         self.read_at = Some(now);
-        if version <= self.version {
-            return;
-        }
-        let writer = record.as_ref().map(|r| r.writer);
-        self.own = self.pending.iter().any(|r| Some(r.writer) == writer);
-        self.version = version;
-        self.record = record;
-        self.pending.clear();
+        self.known.became(version, record);
     }
 
     fn start(
--- a/crates/core/src/group/member.rs
+++ b/crates/core/src/group/member.rs
@@ -7,8 +7,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::clock::{HEARTBEAT, Millis};
-use crate::control::{Control, Detail, Heartbeat, Lease, Pin, Plan};
+use crate::control::{Control, Detail, Heartbeat, HotKey, Lease, Pin, Plan};
 use crate::effect::Effect;
+use crate::group::parts::{Parts, beat, join_plan, pin, split_detail};
+use crate::group::rules::{accepts_plan, lease_end, renews};
 use crate::group::{Grant, Load, Seat};
 use crate::id::{
     Epoch, Fence, Fingerprint, GroupId, KeyHash, NodeAddr, Shard,
@@ -56,6 +58,9 @@
     next: Millis,
     mixed: Vec<Mixed>,
     reported: usize,
+    /// Where the next heartbeat goes on in the list of hot keys.
+    turn: usize,
+    parts: Parts<Fence, Plan>,
 }
 
 impl Member {
@@ -78,6 +83,8 @@
             next: now,
             mixed: Vec::new(),
             reported: 0,
+            turn: 0,
+            parts: Parts::new(),
         }
     }
 
@@ -208,9 +215,11 @@
         to.retain(|&n| n != seat.addr);
         to.dedup();
         let heartbeat = self.heartbeat(seat, group, load, leaving, now);
+        self.turn = self.turn.wrapping_add(beat::HOT);
         for to in to {
-            let message = Control::Heartbeat(heartbeat.clone());
-            out.push(Effect::Send { to, message });
+            for part in split_beat(&heartbeat) {
+                out.push(Effect::Send { to, message: part });
+            }
         }
     }
 
@@ -230,33 +239,38 @@
             sent: now,
             lease: self.until.since(now) as u16,
             plan: self.plan,
-            released: self.released(load),
+            released: first(self.released(load), beat::RELEASED),
             busy: load.busy,
             limit: load.limit,
             config: self.config,
             leaving,
             detail: (!self.known).then(|| self.detail(seat, load).into()),
-            hot: load.hot.clone(),
-            suspects: load.suspects.clone(),
+            hot: self.hot(load),
+            suspects: last(&load.suspects, beat::SUSPECTS).to_vec(),
         }
     }
 
+    /// The next few of the hot keys.
+    fn hot(&self, load: &Load) -> Vec<HotKey> {
+        let from = self.turn % load.hot.len().max(1);
+        let turn = load.hot.iter().cycle().skip(from);
+        turn.take(beat::HOT.min(load.hot.len())).copied().collect()
+    }
+
     /// What a leader must know once. A shard that was reported as released
     /// may have been granted to another member and is not claimed.
     fn detail(&self, seat: &Seat, load: &Load) -> Detail {
         let released = self.released(load);
-        let pin = |(&key, &shard)| Pin { key, shard };
         let revoked = self.revoked.iter().filter(|s| !released.contains(s));
         let held = self.shards.keys().chain(revoked).copied();
-        let pins = self.pins.iter().map(pin);
         Detail {
+            part: 0,
+            parts: 1,
             domain: seat.domain.clone(),
             upstream: seat.upstream.clone(),
             slots: seat.slots,
             held: held.collect(),
-            pins: pins
-                .filter(|p| self.shards.contains_key(&p.shard))
-                .collect(),
+            pins: self.pins.iter().map(pin).collect(),
             poison: self.poison.clone(),
         }
     }
@@ -305,12 +319,17 @@
         if lease.term == 0 {
             return false;
         }
-        if let Some(plan) = &lease.plan {
-            self.adopt(lease.epoch, plan, spec_shards, now);
+        if let Some(part) = &lease.plan {
+            let sequence = part.version;
+            let version = Fence { epoch: lease.epoch, sequence };
+            let number = (part.part, part.parts);
+            let parts = self.parts.add(version, number, part.clone());
+            if let Some(plan) = parts.map(join_plan) {
+                self.adopt(version, &plan, spec_shards, now);
+            }
         }
-        let current = self.plan.epoch == lease.epoch
-            && self.plan.sequence >= lease.version;
-        let until = lease.echo.plus(u64::from(lease.term));
+        let current = renews(self.plan, lease.epoch, lease.version);
+        let until = lease_end(lease.echo, u64::from(lease.term));
         if !current || until <= self.until {
             return lease.plan.is_some();
         }
@@ -322,15 +341,15 @@
     /// Acts on a newer plan from now on.
     fn adopt(
         &mut self,
-        epoch: Epoch,
+        version: Fence,
         plan: &Plan,
         spec_shards: u16,
         now: Millis,
     ) {
-        let version = Fence { epoch, sequence: plan.version };
-        if version <= self.plan {
+        if !accepts_plan(self.plan, version) {
             return;
         }
+        let epoch = version.epoch;
         if epoch != self.plan.epoch {
             // The old term was granted for the old leader's plan.
             self.until = Millis(0);
@@ -378,3 +397,25 @@
         self.pins = new;
     }
 }
+
+/// A heartbeat as datagrams: its details may need several.
+fn split_beat(beat: &Heartbeat) -> Vec<Control> {
+    let Some(detail) = &beat.detail else {
+        return vec![Control::Heartbeat(beat.clone())];
+    };
+    let mut all = Vec::new();
+    for part in split_detail((**detail).clone()) {
+        let detail = Some(Box::new(part));
+        all.push(Control::Heartbeat(Heartbeat { detail, ..beat.clone() }));
+    }
+    all
+}
+
+fn first(mut list: Vec<Shard>, most: usize) -> Vec<Shard> {
+    list.truncate(most);
+    list
+}
+
+fn last<T>(list: &[T], most: usize) -> &[T] {
+    &list[list.len().saturating_sub(most)..]
+}
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -25,7 +25,7 @@
 pub const RECORD_MAX: usize = 4_096;
 
 /// A group's leader, standbys and epoch.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Record {
     /// Grows by one with each change of leader.
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -11,6 +11,7 @@
 use crate::control::{Control, GroupMap, Locate, MapMember, NotLeader};
 use crate::effect::{Effect, StoreOp};
 use crate::event::StoreOutcome;
+use crate::group::parts::{Parts, join_map};
 use crate::id::{CallId, CallOwner, Epoch, GroupId, KeyHash, NodeAddr, Shard};
 use crate::record::{Record, object_name};
 
@@ -26,7 +27,8 @@
 
 /// Age at which the map of a service that is not partitioned by key is
 /// fetched again while it is in use, in milliseconds. Nothing else would
-/// tell an ingress of a new member.
+/// tell an ingress of a new member. With more than four groups the pause
+/// grows, so that an ingress fetches at most two maps a second.
 const REFRESH: u64 = 2_000;
 
 /// Where a request should go.
@@ -45,6 +47,7 @@
     groups: u16,
     leader: Option<(NodeAddr, Epoch)>,
     map: Option<GroupMap>,
+    parts: Parts<(Epoch, u32), GroupMap>,
     fetched: Millis,
     /// A newer map is wanted.
     wanted: bool,
@@ -111,7 +114,8 @@
             if let Some(map) = &entry.map {
                 members.extend(map.members.iter().cloned());
             }
-            let old = now.since(entry.fetched) >= REFRESH;
+            let pause = REFRESH * u64::from(spec.groups).div_ceil(4);
+            let old = now.since(entry.fetched) >= pause;
             if entry.map.is_none() || old {
                 entry.wanted = true;
             }
@@ -206,6 +210,7 @@
             groups: spec.groups,
             leader: None,
             map: None,
+            parts: Parts::new(),
             fetched: Millis(0),
             wanted: false,
             wrong: BTreeSet::new(),
@@ -250,7 +255,10 @@
             return;
         }
         entry.leader = Some((from, map.epoch));
-        entry.map = Some(map.clone());
+        let number = (map.part, map.parts);
+        let parts = entry.parts.add(version, number, map.clone());
+        let Some(map) = parts.map(join_map) else { return };
+        entry.map = Some(map);
         entry.fetched = now;
         entry.wanted = false;
         entry.wrong.clear();
@@ -284,7 +292,7 @@
     /// The shard and owner of a key by the map known.
     fn owner(&self, key: KeyHash, hashed: Shard) -> Option<(Shard, NodeAddr)> {
         let map = self.map.as_ref()?;
-        let node = |i: u8| Some(map.members.get(usize::from(i))?.addr);
+        let node = |i: u16| Some(map.members.get(usize::from(i))?.addr);
         for &(pinned, shard, owner) in &map.pins {
             if pinned == key {
                 return Some((shard, node(owner?)?));
