--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -248,7 +248,7 @@
             return;
         };
         let Some(record) = place.book.record().cloned() else { return };
-        leader.advance(facts, out);
+        leader.tick(facts, out);
         leader.ask(&record, place.book.pending(), now, out);
         if leader.note_standbys(&record.standbys) {
             let (group, nodes) = (place.id, record.standbys.clone());
--- a/crates/core/src/group/leader.rs
+++ b/crates/core/src/group/leader.rs
@@ -32,6 +32,10 @@
 /// milliseconds: two heartbeats and some delay.
 const QUIET: u64 = 2 * HEARTBEAT + 100;
 
+/// Interval at which placement is reconsidered when nothing was reported, in
+/// milliseconds. Bounds how late the end of a lease is noticed.
+const ADVANCE: u64 = 50;
+
 /// Time for which a member in a domain out of service keeps its lease while
 /// it has not confirmed that it takes no new work, in milliseconds. With the
 /// last term, all new work ends within 3 s.
@@ -143,6 +147,7 @@
     next_tend: Millis,
     /// Placement may have to change.
     dirty: bool,
+    next_advance: Millis,
     standbys: Vec<NodeAddr>,
     poison: Poison,
     asks: BTreeMap<NodeAddr, standbys::Ask>,
@@ -179,6 +184,7 @@
             shards: 0,
             next_tend: now,
             dirty: true,
+            next_advance: now,
             standbys: Vec::new(),
             poison: Poison::default(),
             asks: BTreeMap::new(),
@@ -463,7 +469,7 @@
     }
 
     /// Does what is due: lost members, domains out of service, placement.
-    pub(crate) fn advance(&mut self, facts: Facts<'_>, out: &mut Vec<Effect>) {
+    fn advance(&mut self, facts: Facts<'_>, out: &mut Vec<Effect>) {
         self.drop_lost(facts.now, out);
         self.note_domains(facts);
         if facts.now < self.collect {
@@ -475,10 +481,18 @@
             self.collected = true;
         }
         self.dirty = false;
+        self.next_advance = facts.now.plus(ADVANCE);
         self.move_shards(facts);
         self.tend_pins(facts);
     }
 
+    /// Does what is due if anything changed or some time has passed.
+    pub(crate) fn tick(&mut self, facts: Facts<'_>, out: &mut Vec<Effect>) {
+        if self.dirty || facts.now >= self.next_advance {
+            self.advance(facts, out);
+        }
+    }
+
     /// Sends changed plans at once, as leases counted from each member's
     /// latest heartbeat.
     pub(crate) fn push(
--- a/crates/core/src/group/member.rs
+++ b/crates/core/src/group/member.rs
@@ -215,7 +215,6 @@
         to.retain(|&n| n != seat.addr);
         to.dedup();
         let heartbeat = self.heartbeat(seat, group, load, leaving, now);
-        self.turn = self.turn.wrapping_add(beat::HOT);
         for to in to {
             for part in split_beat(&heartbeat) {
                 out.push(Effect::Send { to, message: part });
@@ -225,13 +224,14 @@
 
     /// The member's report to its leader.
     pub(crate) fn heartbeat(
-        &self,
+        &mut self,
         seat: &Seat,
         group: GroupId,
         load: &Load,
         leaving: bool,
         now: Millis,
     ) -> Heartbeat {
+        self.turn = self.turn.wrapping_add(beat::HOT);
         Heartbeat {
             group,
             incarnation: seat.incarnation,
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use lagoondyke_core::config::Config;
+use lagoondyke_core::id::KeyHash;
 use lagoondyke_core::route::Lookup;
 use support::{Net, Sim, addr, config};
 
@@ -532,3 +533,98 @@
         recovered(sim, 100);
     }
 }
+
+/// Two keys of one hashed shard that together overload their holder.
+fn heated(seed: u64) -> (Sim, [KeyHash; 2]) {
+    let mut sim = settled(6, seed);
+    sim.work = 5;
+    let hot = [KeyHash(3), KeyHash(3 + 24)];
+    sim.keys.push(hot[1]);
+    sim.hot.extend(hot.map(|k| (k, 90)));
+    (sim, hot)
+}
+
+#[test]
+fn hot_key_moves_alone_to_another_member_within_a_minute() {
+    let (mut sim, hot) = heated(40);
+    let before: Vec<_> = sim.keys.iter().map(|&k| sim.holders(k)).collect();
+    sim.run(60_000);
+    let holder = |k| sim.holders(k)[0].0;
+    assert_ne!(holder(hot[0]), holder(hot[1]));
+    for (&key, old) in sim.keys.iter().zip(before) {
+        if !hot.contains(&key) {
+            assert_eq!(holder(key), old[0].0, "key {key} moved");
+        }
+    }
+    // A key that moves waits for at most one exchange of datagrams.
+    assert!(sim.gap <= 100, "gap of {} ms", sim.gap);
+}
+
+#[test]
+fn cold_key_returns_to_its_hashed_shard() {
+    let (mut sim, hot) = heated(41);
+    sim.run(60_000);
+    sim.hot.clear();
+    sim.run(120_000);
+    assert_eq!(sim.holders(hot[0])[0], sim.holders(hot[1])[0]);
+    assert!(sim.gap <= 100, "gap of {} ms", sim.gap);
+}
+
+#[test]
+fn hot_key_alone_does_not_move_to_and_fro() {
+    let mut sim = settled(6, 42);
+    sim.work = 0;
+    sim.hot.insert(KeyHash(3), 200);
+    sim.run(60_000);
+    let mut moves = 0;
+    let mut holder = sim.holders(KeyHash(3))[0].0;
+    for _ in 0..240 {
+        sim.run(1_000);
+        let now = sim.holders(KeyHash(3)).first().map_or(holder, |h| h.0);
+        moves += u32::from(now != holder);
+        holder = now;
+    }
+    assert!(moves <= 1, "{moves} moves in 4 minutes");
+}
+
+#[test]
+fn faults_while_hot_keys_move_leave_one_holder() {
+    for seed in 1_100..1_106 {
+        let (mut sim, _) = heated(seed);
+        for key in 0..12 {
+            sim.hot.insert(KeyHash(key * 2), 60);
+        }
+        for _ in 0..12 {
+            sim.run(7_000);
+            sim.random_fault();
+        }
+        sim.heal();
+        sim.run(12_000);
+        sim.reset_gap();
+        recovered(sim, 200);
+    }
+}
+
+#[test]
+fn lists_larger_than_a_datagram_arrive_in_parts() {
+    let mut sim = Sim::new(2, config(1_024, 1, true), 43);
+    sim.keys.truncate(8);
+    sim.work = 0;
+    for key in 0..300 {
+        sim.hot.insert(KeyHash(key), 55);
+    }
+    sim.run(60_000);
+    let pinned =
+        (0..300).filter(|&k| sim.holders(KeyHash(k))[0].1.0 >= 1_024).count();
+    assert_eq!(pinned, 250);
+    let leader = sim.leader().unwrap();
+    sim.route(1 - leader, KeyHash(5));
+    sim.run(50);
+    let owner = addr(sim.holders(KeyHash(5))[0].0);
+    assert_eq!(sim.route(1 - leader, KeyHash(5)), Lookup::Owner(owner));
+    sim.reset_gap();
+    sim.kill(leader);
+    sim.run(4_000);
+    assert!(sim.all_served());
+    assert!(sim.gap <= TARGET, "gap of {} ms", sim.gap);
+}
