Answer operators' questions for the owner of a key

The command's owner and explain had no endpoint to ask. The reducer takes the question as an event, so that a node that does not know the owner looks it up as it does for a request.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -61,6 +61,14 @@
     UpstreamDown,
     /// The upstream accepts connections again after it was down.
     UpstreamUp,
+    /// An operator asks where a key of a service is; see
+    /// [`crate::node::Node::locate`].
+    Inquired {
+        /// The service's name.
+        service: String,
+        /// The key's hash.
+        key: KeyHash,
+    },
     /// The process was asked to stop.
     Stop,
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -11,11 +11,11 @@
 use crate::effect::{Effect, Notice, StoreOp};
 use crate::event::{Event, StoreOutcome};
 use crate::group::{self, Group, Load, Seat};
-use crate::id::{CallId, CallOwner, Incarnation, NodeAddr};
+use crate::id::{CallId, CallOwner, Incarnation, KeyHash, NodeAddr};
 use crate::request::{self, Local, Requests};
 use crate::route::Routes;
 use crate::settings::Settings;
-use crate::status::Status;
+use crate::status::{Located, Status};
 
 /// Pause before a failed read of the configuration is tried again, and
 /// between two questions to the leader, in milliseconds.
@@ -93,6 +93,9 @@
             Event::Fetched { version, document } => {
                 self.install(version, document, out);
             }
+            Event::Inquired { service, key } => {
+                self.inquire(&service, key, now, out);
+            }
             Event::Stop => self.stop(now, out),
             Event::UpstreamDown => self.requests.upstream_down(now, out),
             Event::UpstreamUp => self.requests.upstream_up(now, out),
@@ -126,6 +129,39 @@
         status
     }
 
+    /// Where this node would send a request for a key. An owner that is not
+    /// known yet is looked up after [`Event::Inquired`].
+    #[must_use]
+    pub fn locate(&self, service: impl AsRef<str>, key: KeyHash) -> Located {
+        let service = service.as_ref();
+        let mut at = Located { config: self.version, ..Located::default() };
+        let services = self.config.as_ref().map(|c| &c.services);
+        let Some(spec) = services.and_then(|s| s.get(service)) else {
+            return at;
+        };
+        (at.known, at.keyed, at.hash) = (true, spec.keyed, key);
+        if !spec.keyed {
+            return at;
+        }
+        at.shard = key.shard(spec.shards);
+        at.group = at.shard.group(spec.groups);
+        self.routes.describe(service, spec, key, &mut at);
+        at
+    }
+
+    fn inquire(
+        &mut self,
+        service: &str,
+        key: KeyHash,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let services = self.config.as_ref().map(|c| &c.services);
+        let spec = services.and_then(|s| s.get(service));
+        let Some(spec) = spec.filter(|s| s.keyed) else { return };
+        self.routes.owner(service, spec, key, now, out);
+    }
+
     fn request(&mut self, event: Event, now: Millis, out: &mut Vec<Effect>) {
         let view = request::View {
             config: self.config.as_ref(),
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -14,6 +14,7 @@
 use crate::group::parts::{Parts, join_map};
 use crate::id::{CallId, CallOwner, Epoch, GroupId, KeyHash, NodeAddr, Shard};
 use crate::record::{Record, object_name};
+use crate::status::Located;
 
 /// Interval between two questions for the same map, in milliseconds.
 const ASK: u64 = 200;
@@ -98,6 +99,25 @@
         Lookup::Wait
     }
 
+    /// Adds what the cache holds of a key's owner to an operator's view.
+    pub(crate) fn describe(
+        &self,
+        service: &str,
+        spec: &Service,
+        key: KeyHash,
+        at: &mut Located,
+    ) {
+        let hashed = key.shard(spec.shards);
+        let id = GroupId::of(service, hashed.group(spec.groups));
+        let Some(entry) = self.groups.get(&id) else { return };
+        if let Some((leader, epoch)) = entry.leader {
+            (at.leader, at.epoch) = (Some(leader), epoch);
+        }
+        let Some((shard, owner)) = entry.owner(key, hashed) else { return };
+        (at.shard, at.pinned) = (shard, shard != hashed);
+        at.owner = (!entry.wrong.contains(&shard)).then_some(owner);
+    }
+
     /// The members of all groups of a service that take new work; empty
     /// while none is known.
     pub fn members(
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -3,12 +3,16 @@
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderValue};
 use http::{Method, StatusCode};
+use lagoondyke_core::id::KeyHash;
 use monoio_http::common::request::RequestHead;
 
-use crate::message::SERVICE;
+use crate::message::{KEY, SERVICE};
 use crate::serve::Served;
 use crate::shell::Shell;
 
+/// Path of the questions for owners; a service's name follows.
+const OWNER: &str = "/lagoondyke/owner/";
+
 /// First segment of the paths that are the node's and the upstream's own.
 const RESERVED: &str = "lagoondyke";
 
@@ -33,6 +37,7 @@
             respond(StatusCode::OK, "text/plain", "running\n")
         }
         "/lagoondyke/ready" if get => ready(shell),
+        _ if get && path.starts_with(OWNER) => owner(shell, head),
         "/metrics" if get => {
             shell.sample();
             let text = shell.metrics().render();
@@ -46,6 +51,18 @@
     })
 }
 
+/// Where this node would send a request for the key in the header.
+fn owner(shell: &Shell, head: &RequestHead) -> Served {
+    let service = &head.uri.path()[OWNER.len()..];
+    let Some(key) = head.headers.get(KEY) else {
+        let text = "the header Lagoondyke-Key is missing\n";
+        return respond(StatusCode::BAD_REQUEST, "text/plain", text);
+    };
+    let at = shell.locate(service, KeyHash::of(key.as_bytes()));
+    let body = serde_json::to_vec(&at).unwrap_or_default();
+    respond(StatusCode::OK, "application/json", body)
+}
+
 fn ready(shell: &Shell) -> Served {
     let status = shell.status();
     if status.config == 0 {
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -14,10 +14,10 @@
 use lagoondyke_core::control::Control;
 use lagoondyke_core::effect::{Effect, Notice, StoreOp};
 use lagoondyke_core::event::{Event, Outcome, Source};
-use lagoondyke_core::id::{CallId, Fence, NodeAddr, Shard, Ticket};
+use lagoondyke_core::id::{CallId, Fence, KeyHash, NodeAddr, Shard, Ticket};
 use lagoondyke_core::node::Node;
 use lagoondyke_core::settings::Settings;
-use lagoondyke_core::status::Status;
+use lagoondyke_core::status::{Located, Status};
 use lagoondyke_core::verdict::{Reason, Refusal, Verdict};
 use local_sync::oneshot;
 use slab::Slab;
@@ -189,6 +189,18 @@
         self.inner.node.borrow().status(clock::now())
     }
 
+    /// Where this node would send a request for a key. The first question
+    /// may only start the search for the owner.
+    #[must_use]
+    pub fn locate(&self, service: &str, key: KeyHash) -> Located {
+        let at = self.inner.node.borrow().locate(service, key);
+        if at.owner.is_none() {
+            let service = service.to_owned();
+            self.post(Event::Inquired { service, key });
+        }
+        at
+    }
+
     /// The configuration document in force and its version.
     #[must_use]
     pub fn document(&self) -> (u64, Vec<u8>) {
--- a/crates/node/tests/contract/callers.rs
+++ b/crates/node/tests/contract/callers.rs
@@ -174,6 +174,13 @@
     assert_eq!(status, 200);
     let parsed: Value = serde_json::from_str(&body).expect("status");
     assert_eq!(parsed["config"], 0);
+    assert_eq!(get("/lagoondyke/owner/s").0, 400);
+    let asked = "/lagoondyke/owner/s HTTP/1.1\r\nlagoondyke-key: k";
+    let question = format!("GET {asked}\r\n\r\n");
+    let (status, _, body) = ask(&node, question.as_bytes());
+    assert_eq!(status, 200);
+    let at: Value = serde_json::from_str(&body).expect("located");
+    assert_eq!((&at["known"], &at["owner"]), (&false.into(), &Value::Null));
 }
 
 /// Guards against callers that exhaust the node's descriptors.
