Count malformed input on each socket, and bound slow callers in tests

Times for callers are a parameter of the server, so that tests need not wait for the real ones. Cut-off heads and bodies are counted as malformed input like the others. The process raises its descriptor limit, which 1,024 callers would otherwise reach.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -6,7 +6,10 @@
 use bpaf::Bpaf;
 use lagoondyke_core::settings::Settings;
 use lagoondyke_node::logs;
-use lagoondyke_node::run::{Signals, Sockets, start, until_stopped};
+use lagoondyke_node::run::{
+    Signals, Sockets, raise_descriptor_limit, start, until_stopped,
+};
+use lagoondyke_node::serve::Limits;
 use monoio::{LegacyDriver, RuntimeBuilder};
 
 /// Routes requests to the owner of their key, beside one upstream
@@ -49,13 +52,14 @@
 }
 
 fn serve(mut settings: Settings) -> std::io::Result<i32> {
+    raise_descriptor_limit();
     let signals = Signals::new()?;
     let (log, _guard) = logs::logger(&settings.log);
     let mut runtime =
         RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
     runtime.block_on(async move {
         let sockets = Sockets::bind(&mut settings)?;
-        let shell = start(settings, sockets, log)?;
+        let shell = start(settings, sockets, log, Limits::default())?;
         Ok(until_stopped(&shell, &signals).await)
     })
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -17,7 +17,7 @@
 use crate::metrics::Metrics;
 use crate::peer_server;
 use crate::peers::TcpPeers;
-use crate::serve;
+use crate::serve::{self, Limits};
 use crate::shell::{Ports, Records, Shell};
 use crate::store::HttpStore;
 use crate::trace::Tracer;
@@ -73,6 +73,20 @@
     }
 }
 
+/// Raises the number of descriptors that the process may open to what the
+/// system allows. Callers alone can take the usual limit of 1,024.
+pub fn raise_descriptor_limit() {
+    let mut limit = libc::rlimit { rlim_cur: 0, rlim_max: 0 };
+    // SAFETY: `limit` is a valid `rlimit` that outlives both calls. Where
+    // they fail, accepting waits while there are too many connections.
+    unsafe {
+        if libc::getrlimit(libc::RLIMIT_NOFILE, &raw mut limit) == 0 {
+            limit.rlim_cur = limit.rlim_max;
+            libc::setrlimit(libc::RLIMIT_NOFILE, &raw const limit);
+        }
+    }
+}
+
 /// Starts to serve; the caller then drives [`Shell::run`].
 ///
 /// # Errors
@@ -82,6 +96,7 @@
     settings: Settings,
     sockets: Sockets,
     log: Logger,
+    limits: Limits,
 ) -> io::Result<Shell> {
     let incarnation = Incarnation(rand::random());
     let node = Node::new(&settings, incarnation, rand::random(), clock::now());
@@ -106,7 +121,7 @@
     let shell = Shell::new(settings, node, ports, records);
     control.listen(&shell);
     peer_server::listen(sockets.peers, &shell);
-    serve::listen(sockets.callers, &shell);
+    serve::listen(sockets.callers, &shell, limits);
     Ok(shell)
 }
 
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -33,18 +33,6 @@
 /// Most connections from callers at once.
 pub const CONNECTIONS_MAX: usize = 1_024;
 
-/// Time for which a connection may be idle between requests.
-const IDLE_LIMIT: Duration = Duration::from_mins(1);
-
-/// Time for a caller to send a request head.
-const HEAD_LIMIT: Duration = Duration::from_secs(10);
-
-/// Time for a caller to send a request body.
-const BODY_LIMIT: Duration = Duration::from_secs(30);
-
-/// Time for a caller to take an answer.
-const WRITE_LIMIT: Duration = Duration::from_secs(30);
-
 /// Time for which a refused caller's remaining bytes are read, so that the
 /// reset for unread bytes does not overtake the refusal.
 const LINGER: Duration = Duration::from_secs(1);
@@ -55,6 +43,30 @@
 /// Longest deadline, in milliseconds.
 const DEADLINE_MAX: u64 = 60_000;
 
+/// Times that a caller may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// For which a connection may be idle between requests.
+    pub idle: Duration,
+    /// To send a request head.
+    pub head: Duration,
+    /// To send a request body.
+    pub body: Duration,
+    /// To take an answer.
+    pub write: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            idle: Duration::from_mins(1),
+            head: Duration::from_secs(10),
+            body: Duration::from_secs(30),
+            write: Duration::from_secs(30),
+        }
+    }
+}
+
 /// A response as the server writes it.
 #[derive(Debug)]
 pub struct Served {
@@ -78,7 +90,7 @@
 }
 
 /// Serves callers until the process ends.
-pub fn listen(listener: TcpListener, shell: &Shell) {
+pub fn listen(listener: TcpListener, shell: &Shell, limits: Limits) {
     let shell = shell.clone();
     let open = Rc::new(Cell::new(0_usize));
     monoio::spawn(async move {
@@ -89,9 +101,9 @@
             let shell = shell.clone();
             monoio::spawn(async move {
                 if count.get() > CONNECTIONS_MAX {
-                    turn_away(stream, &shell).await;
+                    turn_away(stream, &shell, limits).await;
                 } else {
-                    serve(stream, &shell).await;
+                    serve(stream, &shell, limits).await;
                 }
                 count.set(count.get() - 1);
             });
@@ -99,48 +111,62 @@
     });
 }
 
-async fn turn_away(stream: TcpStream, shell: &Shell) {
+async fn turn_away(stream: TcpStream, shell: &Shell, limits: Limits) {
     let detail = "the node has no room for another connection";
     let mut refusal = Refusal::new(Reason::Overloaded, detail);
     refusal.retry_after = Some(1_000);
     let mut conn = Conn::new(stream);
+    conn.limit_writes(limits.write);
     let response = refused(shell, refusal);
     let _ = write(&mut conn, &response, Version::HTTP_11, false, true).await;
     drain(&mut conn).await;
 }
 
-async fn serve(stream: TcpStream, shell: &Shell) {
+async fn serve(stream: TcpStream, shell: &Shell, limits: Limits) {
     let mut conn = Conn::new(stream);
+    conn.limit_writes(limits.write);
     loop {
         if !conn.has_unread() {
-            match timeout(IDLE_LIMIT, conn.fill()).await {
+            match timeout(limits.idle, conn.fill()).await {
                 Ok(Ok(1..)) => {}
                 _ => return,
             }
         }
-        let head = match timeout(HEAD_LIMIT, conn.request_head()).await {
+        let head = match timeout(limits.head, conn.request_head()).await {
             Ok(Ok(Some(head))) => head,
-            Ok(Ok(None) | Err(WireError::Closed)) => return,
+            Ok(Ok(None)) => return,
             Ok(Err(error)) => {
                 shell.malformed("caller", &error);
+                if matches!(error, WireError::Closed) {
+                    return;
+                }
                 return reject(conn, shell, rejected(&error)).await;
             }
             Err(_) => {
                 return reject(conn, shell, late("request head")).await;
             }
         };
-        if !request(&mut conn, head, shell).await {
+        if !request(&mut conn, head, shell, limits.body).await {
             return;
         }
     }
 }
 
 /// Handles one request; false if the connection cannot carry another.
-async fn request(conn: &mut Conn, head: RequestHead, shell: &Shell) -> bool {
-    let body = match body(conn, &head).await {
+async fn request(
+    conn: &mut Conn,
+    head: RequestHead,
+    shell: &Shell,
+    limit: Duration,
+) -> bool {
+    let body = match body(conn, &head, limit).await {
         Ok(Some(body)) => body,
-        Ok(None) => return false,
+        Ok(None) => {
+            shell.malformed("caller", &"the request body was cut off");
+            return false;
+        }
         Err(rejection) => {
+            shell.malformed("caller", &rejection.detail);
             let response = rejection.response(shell);
             let version = head.version;
             let _ = write(conn, &response, version, false, true).await;
@@ -174,6 +200,7 @@
 async fn body(
     conn: &mut Conn,
     head: &RequestHead,
+    limit: Duration,
 ) -> Result<Option<Bytes>, Rejected> {
     let framing =
         request_framing(&head.headers).map_err(|error| rejected(&error))?;
@@ -184,7 +211,7 @@
             return Ok(None);
         }
     }
-    match timeout(BODY_LIMIT, conn.body(framing, BODY_MAX)).await {
+    match timeout(limit, conn.body(framing, BODY_MAX)).await {
         Ok(Ok(body)) => Ok(Some(body)),
         Ok(Err(WireError::Closed)) => Ok(None),
         Ok(Err(error)) => Err(rejected(&error)),
@@ -368,7 +395,8 @@
     if copied {
         conn.out().extend_from_slice(body);
     }
-    let sent = timeout(WRITE_LIMIT, async {
+    let limit = conn.write_limit();
+    let sent = timeout(limit, async {
         let sent = conn.flush().await.is_ok();
         if copied || !sent {
             return sent;
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -6,6 +6,7 @@
 
 use std::fmt;
 use std::io;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::header::{self, HeaderMap};
@@ -80,6 +81,7 @@
     stream: TcpStream,
     buf: BytesMut,
     out: BytesMut,
+    limit: Duration,
 }
 
 impl Conn {
@@ -88,7 +90,8 @@
     #[must_use]
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buf: BytesMut::new(), out: BytesMut::new() }
+        let (buf, out) = (BytesMut::new(), BytesMut::new());
+        Self { stream, buf, out, limit: Duration::MAX }
     }
 
     /// Whether bytes have been read that no message has used yet.
@@ -113,6 +116,17 @@
         result
     }
 
+    /// Sets the time that a message may take to be written.
+    pub fn limit_writes(&mut self, limit: Duration) {
+        self.limit = limit;
+    }
+
+    /// The time that a message may take to be written.
+    #[must_use]
+    pub fn write_limit(&self) -> Duration {
+        self.limit
+    }
+
     /// The bytes that [`Conn::flush`] will write.
     pub fn out(&mut self) -> &mut BytesMut {
         &mut self.out
--- a/crates/node/tests/contract/callers.rs
+++ b/crates/node/tests/contract/callers.rs
@@ -1,67 +1,14 @@
 //! Contract of the callers' HTTP server: what it refuses and how.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc;
-use std::thread::JoinHandle;
+use std::net::TcpStream;
+use std::time::Duration;
 
-use lagoondyke_core::settings::Settings;
-use lagoondyke_node::logs;
-use lagoondyke_node::run::{Sockets, start};
+use lagoondyke_node::run::raise_descriptor_limit;
+use lagoondyke_node::serve::Limits;
 use serde_json::Value;
 
-use crate::common::{closed, read_http, run};
-
-/// A node whose store and upstream cannot be reached.
-struct Node {
-    callers: SocketAddr,
-    stop: Arc<AtomicBool>,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
-        let thread = self.thread.take().expect("thread");
-        assert!(thread.join().is_ok(), "the node panicked");
-    }
-}
-
-fn node() -> Node {
-    let text = format!(
-        "{{\"addr\":\"127.0.0.1:1\",\"listen\":\"127.0.0.1:2\",\
-         \"domain\":\"d\",\"operator\":\"o\",\"service\":\"s\",\
-         \"upstream\":{{\"name\":\"u\",\"addr\":\"{}\",\"slots\":4,\
-         \"connections\":10}},\"store\":\"{}\"}}",
-        closed(),
-        closed()
-    );
-    let mut settings = Settings::parse(text).expect("settings");
-    // Settings files may not name port 0, which draws a free port here.
-    settings.addr.0.set_port(0);
-    settings.listen.set_port(0);
-    let stop = Arc::new(AtomicBool::new(false));
-    let flag = Arc::clone(&stop);
-    let (sender, callers) = mpsc::channel();
-    let thread = std::thread::spawn(move || {
-        run(async move {
-            let sockets = Sockets::bind(&mut settings).expect("bind");
-            sender.send(settings.listen).expect("send");
-            let shell =
-                start(settings, sockets, logs::silent()).expect("start");
-            let watch = |shell: &lagoondyke_node::shell::Shell| {
-                if flag.load(Ordering::Relaxed) {
-                    shell.abandon();
-                }
-            };
-            shell.run(watch).await;
-        });
-    });
-    let callers = callers.recv().expect("address");
-    Node { callers, stop, thread: Some(thread) }
-}
+use crate::common::{Node, node, read_http};
 
 fn ask(node: &Node, request: &[u8]) -> (u16, String, String) {
     let mut stream = TcpStream::connect(node.callers).expect("connect");
@@ -78,7 +25,7 @@
 /// run.
 #[test]
 fn unusable_requests_are_refused_as_not_run() {
-    let node = node();
+    let node = node(Limits::default());
     let post = "POST /x HTTP/1.1\r\nlagoondyke-service: s\r\n";
     let long = format!("{post}a: {}\r\n\r\n", "x".repeat(33 * 1024));
     let many = format!("{post}{}\r\n", "a: b\r\n".repeat(200));
@@ -163,7 +110,7 @@
 /// or that say ready before the node can serve.
 #[test]
 fn operator_endpoints_answer() {
-    let node = node();
+    let node = node(Limits::default());
     let get = |path: &str| {
         ask(&node, format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes())
     };
@@ -179,7 +126,9 @@
 /// Guards against callers that exhaust the node's descriptors.
 #[test]
 fn connections_beyond_the_limit_are_turned_away() {
-    let node = node();
+    // Both ends of each connection are in this process.
+    raise_descriptor_limit();
+    let node = node(Limits::default());
     let mut open = Vec::new();
     for _ in 0..lagoondyke_node::serve::CONNECTIONS_MAX {
         let mut stream = TcpStream::connect(node.callers).expect("connect");
@@ -195,3 +144,57 @@
     assert!(refusal.contains("retry-after: 1"), "{refusal}");
     assert_eq!(extra.read(&mut [0]).unwrap_or(0), 0);
 }
+
+/// Guards against callers that hold connections by sending slowly.
+#[test]
+fn slow_senders_are_refused() {
+    let short = Duration::from_millis(20);
+    let limits = Limits { head: short, body: short, ..Limits::default() };
+    let node = node(limits);
+    let head = "GET / HTTP/1.1\r\nhost";
+    let body = "PUT / HTTP/1.1\r\nlagoondyke-service: s\r\n\
+                content-length: 2\r\n\r\n1";
+    for request in [head, body] {
+        let (status, _, body) = ask(&node, request.as_bytes());
+        assert_eq!(status, 408, "{body}");
+        assert!(body.contains("\"not-run\""), "{body}");
+    }
+    let limits = Limits { idle: short, ..Limits::default() };
+    let node = self::node(limits);
+    let mut idle = TcpStream::connect(node.callers).expect("connect");
+    assert_eq!(idle.read(&mut [0]).expect("end of the stream"), 0);
+}
+
+/// Guards against malformed input that leaves no trace.
+#[test]
+fn malformed_input_is_counted() {
+    let node = node(Limits::default());
+    for request in [
+        "hello\r\n\r\n",
+        "PUT / HTTP/1.1\r\ntransfer-encoding: \
+        x\r\n\r\n",
+    ] {
+        ask(&node, request.as_bytes());
+    }
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("bind");
+    socket.send_to(b"\x01junk", node.addr).expect("send");
+    let mut peer = TcpStream::connect(node.addr).expect("connect");
+    peer.write_all(&[255; 8]).expect("write");
+    assert_eq!(peer.read(&mut [0]).unwrap_or(0), 0);
+    let wanted = [
+        "{socket=\"caller\"} 2",
+        "{socket=\"control\"} 1",
+        "{socket=\"peer\"} 1",
+    ];
+    // A datagram is not answered, so its count is waited for.
+    loop {
+        let request = b"GET /metrics HTTP/1.1\r\n\r\n";
+        let (_, _, text) = ask(&node, request);
+        let found = |end: &str| {
+            text.contains(&format!("lagoondyke_malformed_total{end}"))
+        };
+        if wanted.into_iter().all(found) {
+            break;
+        }
+    }
+}
--- a/crates/node/tests/contract/common.rs
+++ b/crates/node/tests/contract/common.rs
@@ -3,14 +3,20 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, mpsc};
 use std::thread::JoinHandle;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use lagoondyke_core::clock::Millis;
 use lagoondyke_core::id::Fingerprint;
-use lagoondyke_node::clock;
+use lagoondyke_core::settings::Settings;
 use lagoondyke_node::message::Call;
+use lagoondyke_node::run::{Sockets, start};
+use lagoondyke_node::serve::Limits;
+use lagoondyke_node::shell::Shell;
+use lagoondyke_node::{clock, logs};
 use monoio::{LegacyDriver, RuntimeBuilder};
 
 /// Runs a future on a runtime like that of the node.
@@ -94,3 +100,57 @@
 pub fn send(stream: &mut TcpStream, text: &str) {
     stream.write_all(text.as_bytes()).expect("write");
 }
+
+/// A node whose store and upstream cannot be reached.
+pub struct Node {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for peers and control datagrams.
+    pub addr: SocketAddr,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        let thread = self.thread.take().expect("thread");
+        assert!(thread.join().is_ok(), "the node panicked");
+    }
+}
+
+/// Starts a node.
+pub fn node(limits: Limits) -> Node {
+    let text = format!(
+        "{{\"addr\":\"127.0.0.1:1\",\"listen\":\"127.0.0.1:2\",\
+         \"domain\":\"d\",\"operator\":\"o\",\"service\":\"s\",\
+         \"upstream\":{{\"name\":\"u\",\"addr\":\"{}\",\"slots\":4,\
+         \"connections\":10}},\"store\":\"{}\"}}",
+        closed(),
+        closed()
+    );
+    let mut settings = Settings::parse(text).expect("settings");
+    // Settings files may not name port 0, which draws a free port here.
+    settings.addr.0.set_port(0);
+    settings.listen.set_port(0);
+    let stop = Arc::new(AtomicBool::new(false));
+    let flag = Arc::clone(&stop);
+    let (sender, addresses) = mpsc::channel();
+    let thread = std::thread::spawn(move || {
+        run(async move {
+            let sockets = Sockets::bind(&mut settings).expect("bind");
+            let addresses = (settings.listen, settings.addr.0);
+            sender.send(addresses).expect("send");
+            let shell = start(settings, sockets, logs::silent(), limits)
+                .expect("start");
+            let watch = |shell: &Shell| {
+                if flag.load(Ordering::Relaxed) {
+                    shell.abandon();
+                }
+            };
+            shell.run(watch).await;
+        });
+    });
+    let (callers, addr) = addresses.recv().expect("addresses");
+    Node { callers, addr, stop, thread: Some(thread) }
+}
--- a/crates/node/tests/contract/peer_frames.rs
+++ b/crates/node/tests/contract/peer_frames.rs
@@ -3,14 +3,17 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
-use crate::common::{call, later, run, server};
+use crate::common::{call, later, node, run, server};
 use http::Method;
 use lagoondyke_core::id::NodeAddr;
 use lagoondyke_core::peer::{AnswerFrame, Frame, decode, encode};
 use lagoondyke_core::verdict::{Reason, Verdict};
+use lagoondyke_node::clock;
+use lagoondyke_node::frames::request_frame;
 use lagoondyke_node::message::Reply;
 use lagoondyke_node::peers::TcpPeers;
 use lagoondyke_node::ports::{Forward, Local, Peers};
+use lagoondyke_node::serve::Limits;
 
 type Script = fn(u64) -> Vec<u8>;
 
@@ -140,3 +143,35 @@
     });
     peer.join().expect("peer");
 }
+
+fn send_frame(stream: &mut TcpStream, frame: &Frame) {
+    let bytes = encode(frame, b"").expect("encode");
+    stream.write_all(&bytes).expect("write");
+}
+
+/// Guards against one malformed request that ends the connection, and with
+/// it all other requests on it.
+#[test]
+fn a_malformed_request_is_refused_by_itself() {
+    let node = node(Limits::default());
+    let mut stream = TcpStream::connect(node.addr).expect("connect");
+    for path in ["", "/\u{e9}", "/a b"] {
+        let call = call(Method::GET, path, b"");
+        let (to, deadline) = (NodeAddr(node.addr), later());
+        let forward = Forward { to, call, deadline, trace: None };
+        let frame = request_frame(7, &forward, clock::now());
+        send_frame(&mut stream, &frame);
+        match read_frame(&mut stream) {
+            Some((Frame::Refused { id: 7, refusal }, _)) => {
+                assert_eq!(refusal.reason, Reason::BadRequest);
+                assert_eq!(refusal.verdict, Verdict::NotRun);
+            }
+            other => panic!("expected a refusal, got {other:?}"),
+        }
+    }
+    let operator = "o".to_owned();
+    send_frame(&mut stream, &Frame::FetchConfig { id: 8, operator });
+    let (frame, body) = read_frame(&mut stream).expect("an answer");
+    assert_eq!(frame, Frame::Config { id: 8, version: 0 });
+    assert!(body.is_empty());
+}
--- a/crates/node/tests/process.rs
+++ b/crates/node/tests/process.rs
@@ -73,17 +73,16 @@
     call.await.expect("the node answers")
 }
 
+async fn get_status(node: &Node) -> Status {
+    get(node, "/lagoondyke/status").await.parse().expect("status")
+}
+
 async fn pause() {
     monoio::time::sleep(Duration::from_millis(5)).await;
 }
 
 async fn busy(node: &Node) {
-    loop {
-        let status: Status =
-            get(node, "/lagoondyke/status").await.parse().expect("status");
-        if status.busy > 0 {
-            return;
-        }
+    while get_status(node).await.busy == 0 {
         pause().await;
     }
 }
@@ -133,12 +132,7 @@
         busy(&node).await;
         node.process.terminate().expect("signal");
         // A signal during the handling of the first could be missed.
-        loop {
-            let status = get(&node, "/lagoondyke/status").await;
-            let status: Status = status.parse().expect("status");
-            if status.leaving {
-                break;
-            }
+        while !get_status(&node).await.leaving {
             pause().await;
         }
         node.process.terminate().expect("signal");
@@ -161,6 +155,27 @@
     assert!(text.contains("line 3, column 3"), "{text}");
 }
 
+/// Guards against work that goes on for a caller that has left.
+#[test]
+fn a_caller_that_leaves_cancels_its_request() {
+    block_on(async {
+        let options =
+            upstream::Options { service_ms: 60_000, ..Default::default() };
+        let node = node(upstream::start(options).unwrap()).await;
+        let get = Method::GET;
+        let request =
+            call_once(node.callers, get, "/work", &HEADERS, "", LIMIT);
+        monoio::select! {
+            _ = request => panic!("the request has no answer"),
+            () = busy(&node) => {}
+        }
+        // The upstream would answer after a minute only.
+        while get_status(&node).await.busy > 0 {
+            pause().await;
+        }
+    });
+}
+
 /// Guards against spans that are lost at a stop, or that are not part of
 /// the caller's trace.
 #[test]
