--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -8,16 +8,19 @@
 //! one question for the request path: may this node serve this key now?
 
 pub(crate) mod book;
+pub mod hot;
 pub(crate) mod join;
 pub(crate) mod leader;
 pub(crate) mod member;
+pub(crate) mod parts;
 pub mod place;
 pub(crate) mod poison;
+pub mod rules;
 pub(crate) mod standby;
 
 use std::collections::BTreeMap;
 
-use crate::clock::{HEARTBEAT, Millis};
+use crate::clock::{HEARTBEAT, Millis, PROMISE};
 use crate::config::{Config, Service};
 use crate::control::{Control, Heartbeat, HotKey, NotLeader};
 use crate::effect::{Effect, Notice};
@@ -26,7 +29,7 @@
 use crate::group::join::Join;
 use crate::group::leader::{Facts, Leader};
 use crate::group::member::Member;
-use crate::group::standby::{SPAN, Standby};
+use crate::group::standby::Standby;
 use crate::id::{
     CallId, Epoch, Fence, Fingerprint, GroupId, Incarnation, KeyHash,
     NodeAddr, Shard,
@@ -39,6 +42,10 @@
 /// milliseconds. A standby reads it as soon as its promise has expired.
 const READ: u64 = 1_000;
 
+/// Silence of the leader after which a standby whose promise has expired
+/// takes over, in milliseconds. A member hears its leader at each heartbeat.
+const UNHEARD: u64 = HEARTBEAT + 100;
+
 /// Interval at which a standby whose promise has expired and a leader
 /// without authority read the record, in milliseconds.
 const READ_SOON: u64 = 250;
@@ -47,10 +54,6 @@
 /// it hands over, in milliseconds.
 const REST: u64 = 5_000;
 
-/// Time that the heir of a leaving leader has before other nodes try to
-/// take over, in milliseconds.
-const HEIR_PAUSE: u64 = 500;
-
 /// Interval between a leader's reports to itself, in milliseconds.
 const OWN: u64 = HEARTBEAT / 2;
 
@@ -117,6 +120,9 @@
     seen: (Epoch, Tenure, Millis),
     /// Until when leases of the leader that this node replaces may last.
     orphan: Millis,
+    /// Until when a new leader is given time to ask for promises. Without
+    /// it, the standbys of a lost leader replace each other in turn.
+    grace: Millis,
     /// No lease of another leader can be valid or is worth collecting.
     fresh: bool,
 }
@@ -219,6 +225,7 @@
             book: Book::new(name, self.seed, calls),
             seen: (Epoch(0), Tenure::Led, self.start),
             orphan: Millis(0),
+            grace: Millis(0),
             fresh: true,
         });
         Some(spec)
@@ -249,7 +256,7 @@
             return;
         };
         let Some(record) = place.book.record().cloned() else { return };
-        leader.advance(facts, out);
+        leader.tick(facts, out);
         leader.ask(&record, place.book.pending(), now, out);
         if leader.note_standbys(&record.standbys) {
             let (group, nodes) = (place.id, record.standbys.clone());
@@ -312,8 +319,9 @@
             self.member.heartbeat(&self.seat, place.id, load, leaving, now);
         let end = leader.authority(record, place.book.pending(), now);
         let addr = self.seat.addr;
-        let lease = leader.heartbeat(addr, &beat, end, facts, out);
-        self.take_lease(addr, &lease, facts.spec, now, out);
+        for lease in leader.heartbeat(addr, &beat, end, facts, out) {
+            self.take_lease(addr, &lease, facts.spec, now, out);
+        }
     }
 
     fn take_lease(
@@ -369,13 +377,14 @@
         if !place.book.idle(now) {
             return;
         }
-        let free = self.standby.free(now);
+        let free = now >= self.standby.bound;
         let named = place.book.record().is_some_and(|r| {
             r.standbys.contains(&self.seat.addr) || r.leader == self.seat.addr
         });
         let quiet = self.member.silent(now) >= READ;
-        let unserved = quiet || !self.member.valid(now);
-        let rival = free && unserved && (named || self.standby.asked());
+        let unheard = self.member.silent(now) >= UNHEARD;
+        let unserved = unheard || !self.member.valid(now);
+        let rival = free && unserved && (named || self.standby.asked);
         let pause = if rival { READ_SOON } else { READ };
         let since = place.book.read_at().map_or(u64::MAX, |t| now.since(t));
         let due = since >= pause && (quiet || rival);
@@ -405,6 +414,9 @@
             place.seen = (record.epoch, record.tenure, since);
         }
         if record.leader != me {
+            if record.epoch > self.member.epoch {
+                place.grace = now.plus(PROMISE);
+            }
             self.learn(&record, now, out);
         }
         if self.leader.is_some() {
@@ -441,8 +453,8 @@
         if record.epoch == leader.epoch {
             // This node gave the group up; members look for the next one.
             self.handed = true;
-            self.announce(record, out);
         }
+        self.announce(record, out);
         self.step_down(out);
         if record.tenure == Tenure::Led {
             self.member.learn(record.leader, record.epoch, now);
@@ -457,7 +469,10 @@
         let group = place.id;
         for to in leader.members() {
             let heir = to == record.leader;
-            let hint = heir.then_some((to, Epoch(record.epoch.0 + 1)));
+            let hint = match record.tenure {
+                Tenure::Led => Some((record.leader, record.epoch)),
+                _ => heir.then_some((to, Epoch(record.epoch.0 + 1))),
+            };
             let message = Control::NotLeader(NotLeader { group, hint });
             out.push(Effect::Send { to, message });
         }
@@ -490,35 +505,21 @@
             return;
         }
         let Some(place) = &mut self.place else { return };
-        place.orphan = match record.tenure {
-            Tenure::Ceded => now.plus(SPAN),
-            _ => now,
-        };
+        let (bound, seen) = (self.standby.bound, place.seen.2);
+        place.orphan = rules::orphan_end(record, me, bound, seen, now);
         place.fresh = record.tenure == Tenure::Vacant;
-        let mut next = record.clone();
-        next.epoch = Epoch(record.epoch.0.max(self.member.epoch.0) + 1);
-        next.leader = me;
-        next.tenure = Tenure::Led;
-        next.standbys.retain(|&n| n != me);
+        let next = rules::successor(record, me, self.member.epoch);
         place.book.write(next, now, out);
     }
 
     /// Whether this node may replace the leader in the record at `now`.
     fn may_claim(&self, record: &Record, now: Millis) -> bool {
         let Some(place) = &self.place else { return false };
-        let me = self.seat.addr;
-        let seen = place.seen.2;
-        match record.tenure {
-            Tenure::Vacant => true,
-            Tenure::Ceded => {
-                record.leader == me || now.since(seen) >= HEIR_PAUSE
-            }
-            Tenure::Led if !self.standby.free(now) => false,
-            // An earlier process at this address led, or an operator named
-            // this node: leases by that record may be valid.
-            Tenure::Led if record.leader == me => now >= seen.plus(SPAN),
-            Tenure::Led => record.standbys.contains(&me),
+        if record.tenure == Tenure::Led && now < place.grace {
+            return false;
         }
+        let (me, bound) = (self.seat.addr, self.standby.bound);
+        rules::may_claim(record, me, bound, place.seen.2, now)
     }
 
     /// Starts to lead.
@@ -615,9 +616,10 @@
         let Some(record) = place.book.record() else { return };
         let pending = place.book.pending();
         let end = leader.authority(record, pending, facts.now);
-        let lease = leader.heartbeat(from, beat, end, facts, out);
-        let message = Control::Lease(lease);
-        out.push(Effect::Send { to: from, message });
+        for lease in leader.heartbeat(from, beat, end, facts, out) {
+            let message = Control::Lease(lease);
+            out.push(Effect::Send { to: from, message });
+        }
         leader.push(end, facts, out);
     }
 
@@ -656,9 +658,15 @@
     ) {
         let me = self.seat.addr;
         let Some(place) = &mut self.place else { return };
-        let taking = place.book.pending().iter().any(|r| r.leader == me);
+        if place.seen.0 == Epoch(0) {
+            // An earlier process at this address may have taken over, which
+            // only the record tells. A promise would revive the old leader.
+            place.book.doubt();
+            return;
+        }
+        let taking = place.book.taking(me);
         let leads = self.leader.as_ref().is_some_and(|l| l.epoch >= ask.epoch);
-        let known = self.member.epoch;
+        let known = self.member.epoch.max(place.seen.0);
         if leads && ask.epoch >= known {
             return;
         }
@@ -680,8 +688,10 @@
             self.redirect(from, out);
             return;
         };
-        let message = Control::Map(leader.map(now));
-        out.push(Effect::Send { to: from, message });
+        for part in leader.map(now) {
+            let message = Control::Map(part);
+            out.push(Effect::Send { to: from, message });
+        }
     }
 
     fn not_leader(&mut self, from: NodeAddr, not: &NotLeader, now: Millis) {
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -7,8 +7,6 @@
 use std::collections::{BTreeSet, HashMap};
 use std::fmt::Debug;
 
-use rand::SeedableRng;
-use rand_pcg::Pcg64Mcg;
 use slab::Slab;
 
 use crate::clock::Millis;
@@ -23,9 +21,14 @@
 use crate::verdict::Reason;
 
 pub mod admit;
+pub mod breaker;
 pub mod choose;
 pub mod dedupe;
+mod dispatch;
 mod flow;
+mod forward;
+pub mod heavy;
+pub mod poison;
 pub mod retry;
 pub mod share;
 
@@ -175,13 +178,20 @@
     /// Entries that wait for a slot of the upstream.
     queue: share::Queue,
     limit: admit::Limit,
+    breaker: breaker::Breaker,
     /// Entries at the upstream, at most `slots`.
     running: Vec<usize>,
     /// The upstream is reachable.
     up: bool,
+    suspects: poison::Suspects,
+    heavy: heavy::Heavy,
     retries: retry::Budget,
     dedupe: dedupe::Dedupe,
-    random: Pcg64Mcg,
+    chooser: choose::Chooser,
+    services: forward::Services,
+    hedge_budget: retry::Budget,
+    /// Forwarded entries, by when a second attempt is due.
+    hedges: BTreeSet<(Millis, usize)>,
 }
 
 impl Requests {
@@ -197,14 +207,23 @@
             waiting: BTreeSet::new(),
             queue: share::Queue::new(),
             limit: admit::Limit::new(local.slots, now),
+            breaker: breaker::Breaker::new(),
             local,
             running: Vec::new(),
             up: true,
+            suspects: poison::Suspects::new(),
+            heavy: heavy::Heavy::new(now),
             retries: retry::Budget::new(
                 retry::RETRY_PERCENT,
                 retry::RETRY_BURST,
             ),
-            random: Pcg64Mcg::seed_from_u64(seed),
+            chooser: choose::Chooser::new(seed),
+            services: HashMap::new(),
+            hedge_budget: retry::Budget::new(
+                forward::HEDGE_PERCENT,
+                forward::HEDGE_BURST,
+            ),
+            hedges: BTreeSet::new(),
         }
     }
 
@@ -217,6 +236,7 @@
         out: &mut Vec<Effect>,
     ) {
         self.begin(arrival, &mut view, now, out);
+        self.hedge_slow(now, out);
     }
 
     /// An attempt at a peer ended.
@@ -230,6 +250,8 @@
         out: &mut Vec<Effect>,
     ) {
         self.peer_ended((ticket, attempt), outcome, &mut view, now, out);
+        self.pump(&mut view, now, out);
+        self.hedge_slow(now, out);
     }
 
     /// A dispatched request ended.
@@ -263,7 +285,11 @@
     /// The shell reports the requests that were in flight one by one as
     /// well, before or after this.
     pub fn upstream_down(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        if !self.up {
+            return;
+        }
         self.up = false;
+        self.suspect(now);
         self.limit.crashed(now);
         self.empty_queue(now, out);
         out.push(Effect::Notice(crate::effect::Notice::UpstreamDown));
@@ -271,7 +297,11 @@
 
     /// The upstream is back; it starts cold.
     pub fn upstream_up(&mut self, _now: Millis, out: &mut Vec<Effect>) {
+        if self.up {
+            return;
+        }
         self.up = true;
+        self.breaker = breaker::Breaker::new();
         out.push(Effect::Notice(crate::effect::Notice::UpstreamUp));
     }
 
@@ -282,7 +312,9 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
+        self.heavy.tick(now);
         self.expire(now, out);
+        self.hedge_slow(now, out);
         self.check_stalls(&mut view, now, out);
         self.check_leases(&mut view, now, out);
         self.wake(&mut view, now, out);
@@ -291,10 +323,12 @@
 
     /// The load for heartbeats and planned moves.
     #[must_use]
-    pub fn load(&self, _now: Millis) -> Load {
+    pub fn load(&self, now: Millis) -> Load {
         let mut load = Load {
             busy: self.running.len() as u16,
             limit: self.limit.value() as u16,
+            hot: self.heavy.hot().to_vec(),
+            suspects: self.suspects.report(now),
             ..Load::default()
         };
         for &id in &self.running {
