Notice a frozen peer by pings on connections with requests

The system keeps the connections of a frozen process open and acknowledges what is sent to it, so requests waited there for their deadlines. After 500 ms without a frame the peer is asked, and after 1,500 ms, the term of a lease, the connection is given up. Looks are counted, not time, so that a node that was frozen itself does not give up its peers when it resumes.

Adds Ping and Pong at the end of the peer frames.

--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -62,6 +62,17 @@
         /// Store version of the document; 0 if there is none.
         version: u64,
     },
+    /// Asks whether the process still runs; a frozen process keeps its
+    /// connections open.
+    Ping {
+        /// Chosen by the sender; echoed in the answer.
+        id: u64,
+    },
+    /// The answer to a [`Frame::Ping`].
+    Pong {
+        /// Echo of the ping's id.
+        id: u64,
+    },
 }
 
 /// A forwarded request.
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -119,6 +119,7 @@
                 let text = if own { text } else { Vec::new() };
                 self.push(&Frame::Config { id, version }, &text);
             }
+            Frame::Ping { id } => self.push(&Frame::Pong { id }, b""),
             // The asking side of a connection receives no answers on it.
             _ => return Err(FrameError::Malformed),
         }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -34,6 +34,19 @@
 /// Time for a peer to answer a question for a document.
 const FETCH_LIMIT: Duration = Duration::from_secs(2);
 
+/// Interval at which a connection with requests is looked at.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Looks in a row without a frame from the peer after which it is asked
+/// whether it still runs.
+const LOOKS_PING: u32 = 2;
+
+/// Looks in a row without a frame after which the connection is given up.
+/// The time, 1,500 ms, is the term of a lease: a process that was frozen
+/// for so long has lost its shards. Looks are counted rather than time, so
+/// that a process that was frozen itself hears its peers before it judges.
+const LOOKS_DEAD: u32 = 6;
+
 /// Time after which a connection without requests is closed.
 const IDLE_LIMIT: Duration = Duration::from_mins(1);
 
@@ -60,6 +73,8 @@
     waiting: RefCell<HashMap<u64, Waiting>>,
     next: Cell<u64>,
     size: Cell<usize>,
+    /// Looks since the last frame from the peer.
+    quiet: Cell<u32>,
 }
 
 /// What the writer of a connection takes.
@@ -133,6 +148,7 @@
             waiting: RefCell::default(),
             next: Cell::new(1),
             size: Cell::new(0),
+            quiet: Cell::new(0),
         });
         links.insert(to, Rc::clone(&link));
         let task = Rc::clone(&link);
@@ -256,12 +272,42 @@
         let shared = Rc::clone(links);
         monoio::spawn(async move { writer.write(due, write, &shared).await });
         let mut reader = FrameReader::new(read);
-        while let Ok(Some((frame, body))) = reader.next().await {
-            self.receive(frame, body);
+        let frames = async {
+            while let Ok(Some((frame, body))) = reader.next().await {
+                self.quiet.set(0);
+                self.receive(frame, body);
+            }
+        };
+        monoio::select! {
+            () = frames => {}
+            () = self.watch() => {}
         }
         Ok(())
     }
 
+    /// Returns when the peer has requests but shows no sign of life.
+    async fn watch(&self) {
+        loop {
+            monoio::time::sleep(LOOK_INTERVAL).await;
+            if self.waiting.borrow().is_empty() {
+                self.quiet.set(0);
+                continue;
+            }
+            let quiet = self.quiet.get() + 1;
+            self.quiet.set(quiet);
+            if quiet == LOOKS_DEAD {
+                return;
+            }
+            if quiet != LOOKS_PING {
+                continue;
+            }
+            let ping = Frame::Ping { id: self.next_id() };
+            if let Ok(bytes) = encode(&ping, b"") {
+                self.push(Item::Other(bytes));
+            }
+        }
+    }
+
     fn receive(&self, frame: Frame, body: Bytes) {
         let (id, incoming) = match frame {
             Frame::Answer(answer) => {
@@ -275,7 +321,8 @@
             Frame::Config { id, version } => {
                 (id, Incoming::Document(version, body.to_vec()))
             }
-            // A peer asks its questions on a connection of its own.
+            // A pong has done its work by arriving. A peer asks questions
+            // on a connection of its own.
             _ => return,
         };
         // An answer to a cancelled request finds nobody waiting.
--- a/crates/node/tests/contract/peer_frames.rs
+++ b/crates/node/tests/contract/peer_frames.rs
@@ -175,3 +175,35 @@
     assert_eq!(frame, Frame::Config { id: 8, version: 0 });
     assert!(body.is_empty());
 }
+
+/// Guards against requests that wait for a frozen peer until their deadline,
+/// and against a slow peer that is taken for a frozen one.
+#[test]
+fn only_a_peer_that_shows_no_life_is_given_up() {
+    let (frozen, peer) = server(|listener| {
+        let (mut stream, _) = listener.accept().expect("accept");
+        while read_frame(&mut stream).is_some() {}
+    });
+    let reply = run(async { forward(&TcpPeers::new(), frozen).await });
+    let expected = (Reason::ConnectionLost, Verdict::MayHaveRun);
+    assert_eq!(refused(reply), expected);
+    peer.join().expect("peer");
+    let (slow, peer) = server(|listener| {
+        let (mut stream, _) = listener.accept().expect("accept");
+        let request = request_id(&mut stream);
+        // Four times the interval between pings is longer than the time
+        // after which a frozen peer is given up.
+        for _ in 0..4 {
+            match read_frame(&mut stream) {
+                Some((Frame::Ping { id }, _)) => {
+                    send_frame(&mut stream, &Frame::Pong { id });
+                }
+                other => panic!("expected a ping, got {other:?}"),
+            }
+        }
+        stream.write_all(&answer(request, b"slow")).expect("write");
+    });
+    let reply = run(async { forward(&TcpPeers::new(), slow).await });
+    assert_eq!(reply.expect("an answer").body, "slow");
+    peer.join().expect("peer");
+}
