Ask a peer that was given up for a sign of life first

Requests that were sent again to a frozen holder, before its shards had moved, waited there a second time and could have run. On a new connection to such a peer nothing is sent before it answers a ping; without an answer within 500 ms the requests are known not to have run.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -6,7 +6,7 @@
 //! the others as possibly run.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::io;
 use std::rc::Rc;
@@ -20,7 +20,7 @@
 use local_sync::oneshot;
 use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, Splitable};
 use monoio::net::TcpStream;
-use monoio::net::tcp::TcpOwnedWriteHalf;
+use monoio::net::tcp::{TcpOwnedReadHalf, TcpOwnedWriteHalf};
 use monoio::time::timeout;
 
 use crate::clock;
@@ -47,6 +47,10 @@
 /// that a process that was frozen itself hears its peers before it judges.
 const LOOKS_DEAD: u32 = 6;
 
+/// Time for a peer that was given up before to show life on a new
+/// connection.
+const GREET_LIMIT: Duration = Duration::from_millis(500);
+
 /// Time after which a connection without requests is closed.
 const IDLE_LIMIT: Duration = Duration::from_mins(1);
 
@@ -63,7 +67,14 @@
     links: Links,
 }
 
-type Links = Rc<RefCell<HashMap<NodeAddr, Rc<Link>>>>;
+type Links = Rc<RefCell<Known>>;
+
+#[derive(Debug, Default)]
+struct Known {
+    links: HashMap<NodeAddr, Rc<Link>>,
+    /// Peers that were given up and have shown no life since.
+    silent: HashSet<NodeAddr>,
+}
 
 /// A connection to one peer.
 struct Link {
@@ -131,13 +142,13 @@
     /// Bytes that have not been written yet.
     #[must_use]
     pub fn unwritten(&self) -> usize {
-        let links = self.links.borrow();
+        let links = &self.links.borrow().links;
         links.values().map(|link| link.size.get()).sum()
     }
 
     fn link(&self, to: NodeAddr) -> Rc<Link> {
-        let mut links = self.links.borrow_mut();
-        if let Some(link) = links.get(&to) {
+        let mut known = self.links.borrow_mut();
+        if let Some(link) = known.links.get(&to) {
             return Rc::clone(link);
         }
         let (queue, due) = unbounded::channel();
@@ -150,7 +161,7 @@
             size: Cell::new(0),
             quiet: Cell::new(0),
         });
-        links.insert(to, Rc::clone(&link));
+        known.links.insert(to, Rc::clone(&link));
         let task = Rc::clone(&link);
         let links = Rc::clone(&self.links);
         monoio::spawn(async move {
@@ -267,11 +278,16 @@
             .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
         let _ = stream.set_nodelay(true);
         user_timeout(&stream);
-        let (read, write) = stream.into_split();
+        let (read, mut write) = stream.into_split();
+        let mut reader = FrameReader::new(read);
+        let silent = links.borrow().silent.contains(&self.to);
+        if silent {
+            self.greet(&mut reader, &mut write).await?;
+            links.borrow_mut().silent.remove(&self.to);
+        }
         let writer = Rc::clone(self);
         let shared = Rc::clone(links);
         monoio::spawn(async move { writer.write(due, write, &shared).await });
-        let mut reader = FrameReader::new(read);
         let frames = async {
             while let Ok(Some((frame, body))) = reader.next().await {
                 self.quiet.set(0);
@@ -280,11 +296,29 @@
         };
         monoio::select! {
             () = frames => {}
-            () = self.watch() => {}
+            () = self.watch() => {
+                links.borrow_mut().silent.insert(self.to);
+            }
         }
         Ok(())
     }
 
+    /// Waits for a sign of life of a peer that was given up before, so that
+    /// requests that would wait for it again are known not to have run.
+    async fn greet(
+        &self,
+        reader: &mut FrameReader<TcpOwnedReadHalf>,
+        stream: &mut TcpOwnedWriteHalf,
+    ) -> io::Result<()> {
+        let ping = Frame::Ping { id: self.next_id() };
+        let ping = encode(&ping, b"").map_err(io::Error::other)?;
+        stream.write_all(ping).await.0?;
+        match timeout(GREET_LIMIT, reader.next()).await {
+            Ok(Ok(Some(_))) => Ok(()),
+            _ => Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+
     /// Returns when the peer has requests but shows no sign of life.
     async fn watch(&self) {
         loop {
@@ -398,7 +432,7 @@
     }
 
     fn forget(&self, links: &Links) {
-        let mut links = links.borrow_mut();
+        let links = &mut links.borrow_mut().links;
         let own = links.get(&self.to);
         if own.is_some_and(|link| std::ptr::eq(link.as_ref(), self)) {
             links.remove(&self.to);
--- a/crates/node/tests/contract/peer_frames.rs
+++ b/crates/node/tests/contract/peer_frames.rs
@@ -181,12 +181,29 @@
 #[test]
 fn only_a_peer_that_shows_no_life_is_given_up() {
     let (frozen, peer) = server(|listener| {
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().expect("accept");
+            while read_frame(&mut stream).is_some() {}
+        }
         let (mut stream, _) = listener.accept().expect("accept");
-        while read_frame(&mut stream).is_some() {}
+        match read_frame(&mut stream) {
+            Some((Frame::Ping { id }, _)) => {
+                send_frame(&mut stream, &Frame::Pong { id });
+            }
+            other => panic!("expected a ping, got {other:?}"),
+        }
+        let id = request_id(&mut stream);
+        stream.write_all(&answer(id, b"thawed")).expect("write");
+    });
+    run(async {
+        let peers = TcpPeers::new();
+        let lost = (Reason::ConnectionLost, Verdict::MayHaveRun);
+        assert_eq!(refused(forward(&peers, frozen).await), lost);
+        let unsent = (Reason::ConnectFailed, Verdict::NotRun);
+        assert_eq!(refused(forward(&peers, frozen).await), unsent);
+        let reply = forward(&peers, frozen).await;
+        assert_eq!(reply.expect("an answer").body, "thawed");
     });
-    let reply = run(async { forward(&TcpPeers::new(), frozen).await });
-    let expected = (Reason::ConnectionLost, Verdict::MayHaveRun);
-    assert_eq!(refused(reply), expected);
     peer.join().expect("peer");
     let (slow, peer) = server(|listener| {
         let (mut stream, _) = listener.accept().expect("accept");
