--- a/crates/cli/tests/operator/main.rs
+++ b/crates/cli/tests/operator/main.rs
@@ -2,5 +2,6 @@
 
 mod command;
 mod pages;
+mod standin;
 mod support;
 mod updates;
