--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -33,6 +33,11 @@
             respond(StatusCode::OK, "text/plain", "running\n")
         }
         "/lagoondyke/ready" if get => ready(shell),
+        "/metrics" if get => {
+            shell.sample();
+            let text = shell.metrics().render();
+            respond(StatusCode::OK, "text/plain; version=0.0.4", text)
+        }
         "/lagoondyke/drain" if head.method == Method::PUT => {
             shell.stop();
             respond(StatusCode::ACCEPTED, "text/plain", "draining\n")
@@ -62,7 +67,8 @@
     let mut headers = HeaderMap::new();
     let media = HeaderValue::from_static(media);
     headers.insert(header::CONTENT_TYPE, media);
-    Served { status, headers, body: body.into() }
+    let body = body.into();
+    Served { status, headers, body, node: None, scope: None }
 }
 
 /// Whether a path reaches the endpoints under `/lagoondyke/` of an
