--- a/crates/cli/tests/operator/command.rs
+++ b/crates/cli/tests/operator/command.rs
@@ -39,6 +39,12 @@
     (addr, server)
 }
 
+/// An address that refuses connections. A port that was just given up could
+/// be given to another test; this one is below those that tests are given.
+fn closed() -> SocketAddr {
+    addr(1)
+}
+
 fn answer(head: &str, body: &str) -> Vec<u8> {
     let length = body.len();
     format!("HTTP/1.1 {head}\r\nContent-Length: {length}\r\n\r\n{body}")
@@ -72,6 +78,7 @@
     assert!(requests[2].to_lowercase().contains("if-none-match: *\r\n"));
     assert!(requests[3].to_lowercase().contains("if-match: \"12\"\r\n"));
     assert!(requests[3].ends_with("\r\n\r\nxy"));
+    let store = HttpStore::new(closed());
     assert!(matches!(store.read("a/b"), Err(StoreError::NotSent(_))));
     assert!(matches!(store.update("a", 1, b""), Err(StoreError::NotSent(_))));
 }
@@ -152,9 +159,7 @@
 
 #[test]
 fn exit_statuses() {
-    let closed = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = closed.local_addr().unwrap().to_string();
-    drop(closed);
+    let addr = closed().to_string();
     let good = "examples/jutland.jsonc";
     let cases: [(&[&str], i32, &str); 10] = [
         (&["--help"], 0, ""),
