Do not read a refused configuration document again

Cause: a node with no usable document, or a leader that had refused one, read the store again at each tick: 400 reads and 400 notices in 10 s of simulated time. A node now watches past the refused version: 1 read, 1 watch, 1 notice in the same test, which failed first.

--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -30,6 +30,8 @@
     routes: Routes,
     config: Option<Config>,
     version: u64,
+    /// Latest version of a document that could not be used; not read again.
+    refused: u64,
     text: Vec<u8>,
     blank: Config,
     calls: u32,
@@ -71,6 +73,7 @@
             routes: Routes::new(),
             config: None,
             version: 0,
+            refused: 0,
             text: Vec::new(),
             blank: Config::default(),
             calls: 0,
@@ -259,19 +262,20 @@
             return;
         }
         let leads = self.group.leads();
+        let after = self.version.max(self.refused);
         if self.pending.is_none() && (leads || self.version == 0) {
             let name = config_name(&self.operator);
-            let op = if self.version == 0 {
+            let op = if after == 0 {
                 StoreOp::Read { name }
             } else {
-                StoreOp::Watch { name, after: self.version }
+                StoreOp::Watch { name, after }
             };
             self.calls += 1;
             let call = CallId { owner: CallOwner::Config, number: self.calls };
             self.pending = Some(call);
             out.push(Effect::Store { call, op });
         }
-        if leads || self.group.leader_config() <= self.version {
+        if leads || self.group.leader_config() <= after {
             return;
         }
         if let Some(from) = self.group.leader() {
@@ -308,23 +312,14 @@
         document: Vec<u8>,
         out: &mut Vec<Effect>,
     ) {
-        if version <= self.version {
+        if version <= self.version.max(self.refused) {
             return;
         }
         let name = config_name(&self.operator);
-        let parsed = Config::parse(&document, self.config.as_ref());
-        let config = match parsed {
-            Ok(config) if config.operator == self.operator => config,
-            Ok(config) => {
-                let error = format!(
-                    "document is of operator {:?}, expected {:?}",
-                    config.operator, self.operator
-                );
-                out.push(Effect::Notice(Notice::Rejected { name, error }));
-                return;
-            }
-            Err(e) => {
-                let error = e.to_string();
+        let config = match self.parse(&document) {
+            Ok(config) => config,
+            Err(error) => {
+                self.refused = version;
                 out.push(Effect::Notice(Notice::Rejected { name, error }));
                 return;
             }
@@ -334,6 +329,18 @@
         self.text = document;
         out.push(Effect::Notice(Notice::Config { version }));
     }
+
+    fn parse(&self, document: &[u8]) -> Result<Config, String> {
+        let config = Config::parse(document, self.config.as_ref())
+            .map_err(|e| e.to_string())?;
+        if config.operator == self.operator {
+            return Ok(config);
+        }
+        Err(format!(
+            "document is of operator {:?}, expected {:?}",
+            config.operator, self.operator
+        ))
+    }
 }
 
 /// Name of the store object that holds an operator's document.
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -96,6 +96,39 @@
     assert_eq!(bench.version(), 20);
 }
 
+/// Guards against a node that reads a document it has refused at each tick:
+/// 400 reads in 10 s were seen.
+#[test]
+fn a_refused_document_is_not_read_again() {
+    let mut bench = Bench::new();
+    let (mut reads, mut watches, mut notices) = (0, 0, 0);
+    for _ in 0..400 {
+        for effect in bench.step(Event::Tick) {
+            let Effect::Store { call, op } = effect else { continue };
+            if call.owner != CallOwner::Config {
+                continue;
+            }
+            if matches!(op, StoreOp::Watch { after: 7, .. }) {
+                watches += 1;
+                continue;
+            }
+            reads += 1;
+            let value = b"{}".to_vec();
+            let outcome = StoreOutcome::Read { version: 7, value };
+            let effects = bench.step(Event::Stored { call, outcome });
+            notices += effects
+                .iter()
+                .filter(|e| {
+                    matches!(e, Effect::Notice(Notice::Rejected { .. }))
+                })
+                .count();
+        }
+    }
+    assert_eq!((reads, watches, notices), (1, 1, 1));
+    assert_eq!(bench.fetch(8, DOCUMENT), None, "a valid one still follows");
+    assert_eq!(bench.version(), 8);
+}
+
 #[test]
 fn the_first_document_is_read_again_until_the_store_answers() {
     let mut bench = Bench::new();
