Model check the ownership rules; a node reads the record before it promises

The checker found two ways to two owners, both by a standby that took over and restarted: it did not know its own epoch and promised the old leader, which regained authority. A process now promises only after it has read the record, and refuses epochs below the one in the record even where the record names itself. The test's scenarios are still being sized.

--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -640,8 +640,10 @@
         let me = self.seat.addr;
         let Some(place) = &mut self.place else { return };
         let taking = place.book.taking(me);
+        let informed = place.book.read_at().is_some();
+        let recorded = place.book.record().map_or(Epoch(0), |r| r.epoch);
         let leads = self.leader.as_ref().is_some_and(|l| l.epoch >= ask.epoch);
-        let known = self.member.epoch;
+        let known = self.member.epoch.max(recorded);
         if leads && ask.epoch >= known {
             return;
         }
@@ -649,7 +651,7 @@
             place.book.doubt();
             return;
         }
-        let answer = self.standby.ask(ask, known, taking, now);
+        let answer = self.standby.ask(ask, known, informed, taking, now);
         let Some(promise) = answer else { return };
         if promise.refused.is_none() {
             self.member.learn(from, ask.epoch, now);
--- a/crates/core/src/group/rules.rs
+++ b/crates/core/src/group/rules.rs
@@ -97,17 +97,27 @@
     Promise,
     /// The node knows a later epoch.
     Refuse,
-    /// The node may be taking over and can promise nothing.
+    /// The node may be taking over, or knows too little to promise.
     Silence,
 }
 
-/// Answers a promise request. `known` is the latest epoch that the node
-/// knows; `taking` says that a write which makes it the leader is pending.
+/// Answers a promise request.
+///
+/// `informed` says that this process has read the record since it started.
+/// Without that, a node that took over and restarted would not know of its
+/// own epoch, and its promise would give authority back to the leader that
+/// it had replaced. `known` is the latest epoch that the node knows;
+/// `taking` says that a write which makes it the leader is pending.
 #[must_use]
-pub fn answer(asked: Epoch, known: Epoch, taking: bool) -> Answer {
+pub fn answer(
+    asked: Epoch,
+    known: Epoch,
+    informed: bool,
+    taking: bool,
+) -> Answer {
     if asked < known {
         Answer::Refuse
-    } else if taking {
+    } else if taking || !informed {
         Answer::Silence
     } else {
         Answer::Promise
--- a/crates/core/src/group/standby.rs
+++ b/crates/core/src/group/standby.rs
@@ -24,16 +24,16 @@
         Self { bound: promise_end(now), asked: false }
     }
 
-    /// Answers a leader's request. `known` is the latest epoch known here;
-    /// `taking` says that this node may be taking over.
+    /// Answers a leader's request; see [`answer`].
     pub(crate) fn ask(
         &mut self,
         request: &PromiseRequest,
         known: Epoch,
+        informed: bool,
         taking: bool,
         now: Millis,
     ) -> Option<Promise> {
-        let refused = match answer(request.epoch, known, taking) {
+        let refused = match answer(request.epoch, known, informed, taking) {
             Answer::Silence => return None,
             Answer::Refuse => Some(known),
             Answer::Promise => {
--- /dev/null
+++ b/crates/core/tests/model.rs
@@ -0,0 +1,1007 @@
+//! Model check of the ownership protocol.
+//!
+//! Two nodes contend for leadership of one shard, and two members hold it in
+//! turn. The checker explores every order of messages, losses, duplicates,
+//! pauses, restarts, delayed store writes and lost store answers within
+//! bounds, and takes each decision by the product's own functions in
+//! `group::rules`. A pause or a store outage is an order in which a node or
+//! the store does nothing while time passes.
+//!
+//! Times are kept relative to the present and advance in steps of
+//! one second, so that states repeat and the search ends.
+
+use std::cell::Cell;
+
+use lagoondyke_core::clock::Millis;
+use lagoondyke_core::group::rules::{self, Answer, Known};
+use lagoondyke_core::id::{Epoch, Fence, NodeAddr};
+use lagoondyke_core::record::{Record, Tenure};
+use pathfinding::prelude::bfs;
+
+/// The present, in milliseconds.
+const NOW: Millis = Millis(100_000);
+
+/// One step of time, in milliseconds.
+const STEP: i16 = 1_000;
+
+/// Store writes on their way at once.
+const FLIGHT: usize = 2;
+
+/// A rule broken on purpose.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fault {
+    None,
+    TakeOverWithoutWait,
+    RenewPastAuthority,
+    AcceptOldPlan,
+    GrantBeforeRelease,
+    GrantBeforeLapse,
+    CountLeaseFromReceipt,
+    CountPromiseFromReceipt,
+    WriteWithoutCondition,
+    RepeatBlindly,
+    ForgetUnknownWrite,
+    PromiseWhileTakingOver,
+    RestartWithoutWait,
+    IgnorePendingStandbys,
+    AddStandbyWithoutPromise,
+    AcceptOldRelease,
+    GrantOrphansAtOnce,
+    AcceptOldClaim,
+    LeadBeforeAnswer,
+    KeepEpoch,
+    RenewLapsedPlan,
+    PromiseWithoutReading,
+}
+
+/// Which messages may be delayed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Late {
+    Any,
+    Promises,
+    Leases,
+}
+
+/// What a search may use, and which rule is broken.
+#[derive(Clone, Copy, Debug)]
+struct Bounds {
+    fault: Fault,
+    /// Messages delayed at once. All others arrive at once or never.
+    delayed: usize,
+    /// Which messages may be delayed.
+    late: Late,
+    /// Most plan versions of one leader.
+    versions: u8,
+    /// Whether the first leader has a standby.
+    standby: bool,
+    /// Writes to the store in all.
+    writes: u8,
+    restarts: u8,
+    standbys: bool,
+    cede: bool,
+    moves: bool,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+struct Rec {
+    epoch: u8,
+    leader: u8,
+    standby: bool,
+    ceded: bool,
+    writer: u8,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+struct Lead {
+    epoch: u8,
+    /// Send time of the latest answered promise request.
+    answered: Option<i16>,
+    orphan: i16,
+    owner: Option<u8>,
+    free: bool,
+    revoked: Option<u8>,
+    version: u8,
+    latest: [i16; 2],
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Node {
+    version: u8,
+    rec: Option<Rec>,
+    pending: Vec<Rec>,
+    own: bool,
+    /// A store call is outstanding.
+    calling: bool,
+    lead: Option<Lead>,
+    bound: i16,
+    seen: i16,
+    epoch: u8,
+    orphan: i16,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+struct Member {
+    epoch: u8,
+    leader: u8,
+    plan: (u8, u8),
+    holds: bool,
+    revoked: bool,
+    /// A request for the revoked shard is in flight.
+    busy: bool,
+    until: i16,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+enum Message {
+    Ask {
+        to: u8,
+        epoch: u8,
+        sent: i16,
+    },
+    Promise {
+        to: u8,
+        epoch: u8,
+        echo: i16,
+    },
+    Beat {
+        to: u8,
+        member: u8,
+        epoch: u8,
+        sent: i16,
+        plan: (u8, u8),
+        released: bool,
+        claim: bool,
+    },
+    Lease {
+        from: u8,
+        to: u8,
+        epoch: u8,
+        echo: i16,
+        term: i16,
+        version: u8,
+        holds: bool,
+        revoked: bool,
+    },
+}
+
+/// How messages and their answers travel.
+#[derive(Clone, Copy, Debug)]
+enum Path {
+    Prompt(Fault),
+    /// With the number of messages that may be delayed at once.
+    Delayed(usize, Late),
+}
+
+/// A write on its way to the store.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+struct Write {
+    node: u8,
+    expect: u8,
+    rec: Rec,
+    /// The writer still waits for the answer.
+    awaited: bool,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct State {
+    store: (u8, Rec),
+    /// Leader of each epoch that was in the record.
+    leaders: [Option<u8>; 5],
+    writes: Vec<Write>,
+    written: u8,
+    restarts: u8,
+    nodes: [Node; 2],
+    members: [Member; 2],
+    messages: Vec<Message>,
+    broken: Option<&'static str>,
+}
+
+fn addr(node: u8) -> NodeAddr {
+    NodeAddr(([127, 0, 0, 1], 7_000 + u16::from(node)).into())
+}
+
+fn at(time: i16) -> Millis {
+    Millis(NOW.0.saturating_add_signed(i64::from(time)))
+}
+
+fn rel(time: Millis) -> i16 {
+    (time.0 as i64 - NOW.0 as i64).clamp(-30_000, 30_000) as i16
+}
+
+fn fence((epoch, sequence): (u8, u8)) -> Fence {
+    Fence { epoch: Epoch(epoch.into()), sequence: sequence.into() }
+}
+
+impl Rec {
+    fn full(self) -> Record {
+        let other = addr(1 - self.leader);
+        Record {
+            epoch: Epoch(self.epoch.into()),
+            leader: addr(self.leader),
+            standbys: if self.standby { vec![other] } else { vec![] },
+            writer: self.writer.into(),
+            tenure: if self.ceded { Tenure::Ceded } else { Tenure::Led },
+        }
+    }
+
+    fn of(record: &Record) -> Self {
+        Self {
+            epoch: record.epoch.0 as u8,
+            leader: u8::from(record.leader == addr(1)),
+            standby: !record.standbys.is_empty(),
+            ceded: record.tenure == Tenure::Ceded,
+            writer: record.writer as u8,
+        }
+    }
+}
+
+impl Node {
+    /// Applies one of the product's functions to what the node knows.
+    fn known<T>(&mut self, change: impl FnOnce(&mut Known) -> T) -> T {
+        let mut known = Known {
+            version: self.version.into(),
+            record: self.rec.map(Rec::full),
+            pending: self.pending.iter().map(|r| r.full()).collect(),
+            own: self.own,
+        };
+        let result = change(&mut known);
+        self.version = known.version as u8;
+        self.rec = known.record.as_ref().map(Rec::of);
+        self.pending = known.pending.iter().map(Rec::of).collect();
+        self.own = known.own;
+        result
+    }
+
+    fn authority(&self, me: u8, fault: Fault) -> Millis {
+        let (Some(rec), Some(lead)) = (self.rec, self.lead) else {
+            return Millis(0);
+        };
+        let mut records = vec![rec.full()];
+        if fault != Fault::IgnorePendingStandbys {
+            records.extend(self.pending.iter().map(|r| r.full()));
+        }
+        let answered = |_| lead.answered.map(at);
+        rules::authority(addr(me), &records, answered, NOW)
+    }
+
+    fn restart(&mut self, fault: Fault) {
+        let wait = fault != Fault::RestartWithoutWait;
+        *self = Self {
+            version: 0,
+            rec: None,
+            pending: Vec::new(),
+            own: false,
+            calling: false,
+            lead: None,
+            bound: if wait { rel(rules::promise_end(NOW)) } else { 0 },
+            seen: 0,
+            epoch: 0,
+            orphan: 0,
+        };
+    }
+}
+
+impl Message {
+    fn may(&self, late: Late) -> bool {
+        let promise = matches!(self, Self::Ask { .. } | Self::Promise { .. });
+        match late {
+            Late::Any => true,
+            Late::Promises => promise,
+            Late::Leases => !promise,
+        }
+    }
+}
+
+impl State {
+    fn start(bounds: &Bounds) -> Self {
+        let rec = Rec {
+            epoch: 1,
+            leader: 0,
+            standby: bounds.standby,
+            ceded: false,
+            writer: 0,
+        };
+        let lead = Lead {
+            epoch: 1,
+            answered: bounds.standby.then_some(0),
+            orphan: 0,
+            owner: Some(0),
+            free: false,
+            revoked: None,
+            version: 1,
+            latest: [rel(rules::latest(NOW, 1_500)), 0],
+        };
+        let node = |lead, bound| Node {
+            version: 1,
+            rec: Some(rec),
+            pending: Vec::new(),
+            own: false,
+            calling: false,
+            lead,
+            bound,
+            seen: 0,
+            epoch: 1,
+            orphan: 0,
+        };
+        let bound = rel(rules::promise_end(NOW));
+        let member = |holds| Member {
+            epoch: 1,
+            leader: 0,
+            plan: (1, u8::from(holds)),
+            holds,
+            revoked: false,
+            busy: false,
+            until: if holds { 1_500 } else { 0 },
+        };
+        Self {
+            store: (1, rec),
+            leaders: [None, Some(0), None, None, None],
+            writes: Vec::new(),
+            written: 0,
+            restarts: 0,
+            nodes: [
+                node(Some(lead), 0),
+                node(None, if bounds.standby { bound } else { 0 }),
+            ],
+            members: [member(true), member(false)],
+            messages: Vec::new(),
+            broken: None,
+        }
+    }
+
+    /// Moves all times into the past; what no decision tells apart becomes
+    /// equal.
+    fn tick(&mut self, bounds: &Bounds) {
+        let past = |t: &mut i16, least: i16| *t = (*t - STEP).max(least);
+        for node in &mut self.nodes {
+            past(&mut node.bound, 0);
+            past(&mut node.orphan, 0);
+            if bounds.cede || bounds.restarts > 0 {
+                past(&mut node.seen, -2_500);
+            }
+            let Some(lead) = &mut node.lead else { continue };
+            past(&mut lead.orphan, 0);
+            for latest in &mut lead.latest {
+                past(latest, 0);
+            }
+            lead.answered = lead.answered.map(|t| t - STEP);
+            lead.answered = lead.answered.filter(|&t| t > -2_000);
+        }
+        for member in &mut self.members {
+            past(&mut member.until, 0);
+        }
+        for message in &mut self.messages {
+            match message {
+                Message::Ask { sent, .. } | Message::Beat { sent, .. } => {
+                    past(sent, -2_000);
+                }
+                Message::Promise { echo, .. }
+                | Message::Lease { echo, .. } => past(echo, -2_000),
+            }
+        }
+    }
+
+    /// Sends a message, which arrives at once or is delayed.
+    fn send(&mut self, message: Message, path: Path) {
+        match path {
+            Path::Prompt(fault) => self.deliver(message, fault, path),
+            Path::Delayed(most, late)
+                if self.messages.len() < most && message.may(late) =>
+            {
+                self.messages.push(message);
+                self.messages.sort_unstable();
+                self.messages.dedup();
+            }
+            Path::Delayed(..) => {}
+        }
+    }
+
+    fn violated(&self) -> Option<&'static str> {
+        let holders =
+            self.members.iter().filter(|m| (m.holds || m.busy) && m.until > 0);
+        if holders.count() > 1 {
+            return Some("the shard has two holders");
+        }
+        self.broken
+    }
+
+    /// All states that one step leads to.
+    fn next(&self, bounds: &Bounds) -> Vec<Self> {
+        let mut all = Vec::new();
+        let old = [Fault::AcceptOldPlan, Fault::AcceptOldClaim];
+        let prune = !old.contains(&bounds.fault);
+        let mut add = |change: &dyn Fn(&mut Self)| {
+            let mut next = self.clone();
+            change(&mut next);
+            if prune {
+                next.prune();
+            }
+            if next != *self {
+                all.push(next);
+            }
+        };
+        let fault = bounds.fault;
+        let paths =
+            [Path::Prompt(fault), Path::Delayed(bounds.delayed, bounds.late)];
+        add(&|s| s.tick(bounds));
+        for (i, &message) in self.messages.iter().enumerate() {
+            add(&|s| {
+                s.messages.remove(i);
+            });
+            for path in paths {
+                add(&|s| {
+                    s.messages.remove(i);
+                    s.deliver(message, fault, path);
+                });
+                // Delivered and duplicated.
+                add(&|s| s.deliver(message, fault, path));
+            }
+        }
+        for i in 0..self.writes.len() {
+            add(&|s| {
+                s.writes.remove(i);
+            });
+            add(&|s| s.give_up(i, bounds.fault));
+            add(&|s| s.apply(i, true, bounds.fault));
+            add(&|s| s.apply(i, false, bounds.fault));
+        }
+        for me in 0..2 {
+            self.node_steps(me, bounds, &mut add);
+            let member = self.members[usize::from(me)];
+            if member.busy {
+                add(&|s| s.members[usize::from(me)].busy = false);
+            }
+            add(&|s| s.beat(me, paths[0], paths[0]));
+            add(&|s| s.beat(me, paths[0], paths[1]));
+            add(&|s| s.beat(me, paths[1], paths[1]));
+        }
+        all
+    }
+
+    fn node_steps(
+        &self,
+        me: u8,
+        bounds: &Bounds,
+        add: &mut impl FnMut(&dyn Fn(&mut Self)),
+    ) {
+        let node = &self.nodes[usize::from(me)];
+        if self.restarts < bounds.restarts {
+            add(&|s| s.restart(me, bounds.fault));
+        }
+        if node.version < self.store.0 {
+            add(&|s| s.read(me));
+        }
+        let Some(lead) = node.lead else {
+            add(&|s| s.claim(me, bounds));
+            return;
+        };
+        let fault = bounds.fault;
+        let paths =
+            [Path::Prompt(fault), Path::Delayed(bounds.delayed, bounds.late)];
+        if node.rec.is_some_and(|r| r.standby) || bounds.standbys {
+            add(&|s| s.ask(me, paths[0], paths[0]));
+            add(&|s| s.ask(me, paths[0], paths[1]));
+            add(&|s| s.ask(me, paths[1], paths[1]));
+        }
+        for member in 0..2 {
+            if self.members[usize::from(member)].epoch < lead.epoch {
+                add(&|s| s.learn(member, me));
+            }
+            if lead.owner.is_none() {
+                add(&|s| s.give(me, member, bounds));
+            }
+        }
+        if lead.owner.is_some() {
+            add(&|s| s.lapse(me, bounds));
+        }
+        if lead.owner.is_some() && bounds.moves {
+            add(&|s| s.revoke(me, bounds));
+        }
+        if bounds.standbys {
+            add(&|s| s.change_standby(me, bounds));
+        }
+        if bounds.cede {
+            add(&|s| s.cede(me, bounds));
+        }
+    }
+
+    /// Drops messages that can have no effect any more.
+    fn prune(&mut self) {
+        let mut messages = std::mem::take(&mut self.messages);
+        messages.retain(|m| self.matters(m));
+        self.messages = messages;
+    }
+
+    fn matters(&self, message: &Message) -> bool {
+        let node = |n: u8| &self.nodes[usize::from(n)];
+        let leads =
+            |n: u8, epoch: u8| node(n).lead.is_some_and(|l| l.epoch == epoch);
+        match *message {
+            Message::Ask { to, epoch, .. } => {
+                node(to).epoch <= epoch && node(to).lead.is_none()
+            }
+            Message::Promise { to, epoch, echo } => {
+                let answered = node(to).lead.and_then(|l| l.answered);
+                leads(to, epoch) && Some(echo) > answered
+            }
+            Message::Beat { to, epoch, .. } => leads(to, epoch),
+            Message::Lease { to, epoch, echo, term, version, .. } => {
+                let m = self.members[usize::from(to)];
+                let newer = (epoch, version) > m.plan;
+                epoch >= m.epoch && (newer || echo + term > 0)
+            }
+        }
+    }
+
+    /// A leader asks for a promise. `first` is the path of the request,
+    /// `path` that of the answer.
+    fn ask(&mut self, me: u8, first: Path, path: Path) {
+        let node = &self.nodes[usize::from(me)];
+        if let Some(lead) = node.lead {
+            let (to, epoch) = (1 - me, lead.epoch);
+            self.launch(Message::Ask { to, epoch, sent: 0 }, first, path);
+        }
+    }
+
+    fn launch(&mut self, message: Message, first: Path, path: Path) {
+        match first {
+            Path::Prompt(fault) => self.deliver(message, fault, path),
+            Path::Delayed(..) => self.send(message, first),
+        }
+    }
+
+    fn beat(&mut self, member: u8, first: Path, path: Path) {
+        let m = self.members[usize::from(member)];
+        let beat = Message::Beat {
+            to: m.leader,
+            member,
+            epoch: m.epoch,
+            sent: 0,
+            plan: m.plan,
+            released: m.revoked && !m.busy,
+            claim: (m.holds || m.busy) && m.until > 0,
+        };
+        self.launch(beat, first, path);
+    }
+
+    /// A member finds out who leads.
+    fn learn(&mut self, member: u8, me: u8) {
+        let Some(lead) = self.nodes[usize::from(me)].lead else { return };
+        let m = &mut self.members[usize::from(member)];
+        if lead.epoch > m.epoch {
+            m.epoch = lead.epoch;
+            m.leader = me;
+        }
+    }
+
+    fn deliver(&mut self, message: Message, fault: Fault, path: Path) {
+        match message {
+            Message::Ask { to, epoch, sent } => {
+                self.asked(to, epoch, sent, fault, path);
+            }
+            Message::Promise { to, epoch, echo } => {
+                let node = &mut self.nodes[usize::from(to)];
+                let Some(lead) = &mut node.lead else { return };
+                let receipt = fault == Fault::CountPromiseFromReceipt;
+                if lead.epoch == epoch {
+                    let echo = if receipt { 0 } else { echo };
+                    lead.answered = lead.answered.max(Some(echo));
+                }
+            }
+            Message::Beat { .. } => self.heard(message, fault, path),
+            Message::Lease { .. } => self.leased(message, fault),
+        }
+    }
+
+    fn asked(
+        &mut self,
+        me: u8,
+        epoch: u8,
+        sent: i16,
+        fault: Fault,
+        path: Path,
+    ) {
+        let node = &mut self.nodes[usize::from(me)];
+        let known = Epoch(node.epoch.into());
+        let taking = node.known(|k| k.taking(addr(me)))
+            && fault != Fault::PromiseWhileTakingOver;
+        if node.lead.is_some_and(|l| l.epoch <= epoch) {
+            return;
+        }
+        let asked = Epoch(epoch.into());
+        let informed =
+            node.rec.is_some() || fault == Fault::PromiseWithoutReading;
+        let answer = rules::answer(asked, known, informed, taking);
+        if answer == Answer::Promise {
+            node.bound = node.bound.max(rel(rules::promise_end(NOW)));
+            node.epoch = node.epoch.max(epoch);
+            self.send(
+                Message::Promise { to: 1 - me, epoch, echo: sent },
+                path,
+            );
+        }
+    }
+
+    /// A leader takes a heartbeat and answers it.
+    fn heard(&mut self, message: Message, fault: Fault, path: Path) {
+        let Message::Beat { to, member, epoch, sent, plan, released, claim } =
+            message
+        else {
+            return;
+        };
+        let node = &mut self.nodes[usize::from(to)];
+        let authority = node.authority(to, fault);
+        let Some(lead) = &mut node.lead else { return };
+        if epoch != lead.epoch && fault != Fault::AcceptOldClaim {
+            return;
+        }
+        let own = Epoch(lead.epoch.into());
+        let counts = lead.revoked.is_some_and(|v| {
+            rules::releases(fence(plan), own, v.into())
+                || (fault == Fault::AcceptOldRelease && plan.0 == lead.epoch)
+        });
+        if released && counts && lead.owner == Some(member) {
+            (lead.owner, lead.free, lead.revoked) = (None, true, None);
+        }
+        let earlier = plan.0 < lead.epoch;
+        if claim && earlier && lead.owner.is_none() && !lead.free {
+            lead.owner = Some(member);
+            lead.version += 1;
+        }
+        let mut term = rules::term(authority, NOW);
+        if fault == Fault::RenewPastAuthority {
+            term = 1_500;
+        }
+        if term == 0 {
+            return;
+        }
+        let latest = rel(rules::latest(NOW, term));
+        let old = &mut lead.latest[usize::from(member)];
+        *old = latest.max(*old);
+        let owns = lead.owner == Some(member);
+        let lease = Message::Lease {
+            from: to,
+            to: member,
+            epoch: lead.epoch,
+            echo: sent,
+            term: term as i16,
+            version: lead.version,
+            holds: owns && lead.revoked.is_none(),
+            revoked: owns && lead.revoked.is_some(),
+        };
+        self.send(lease, path);
+    }
+
+    /// A member takes a lease.
+    fn leased(&mut self, message: Message, fault: Fault) {
+        let Message::Lease {
+            from,
+            to,
+            epoch,
+            echo,
+            term,
+            version,
+            holds,
+            revoked,
+        } = message
+        else {
+            return;
+        };
+        let m = &mut self.members[usize::from(to)];
+        let old = fault == Fault::AcceptOldPlan;
+        if epoch < m.epoch && !old {
+            return;
+        }
+        (m.epoch, m.leader) = (epoch, from);
+        let offered = fence((epoch, version));
+        if rules::accepts_plan(fence(m.plan), offered) || old {
+            if epoch != m.plan.0 {
+                m.until = 0;
+            }
+            m.busy = revoked && (m.holds || m.busy);
+            (m.holds, m.revoked) = (holds, revoked);
+            m.plan = (epoch, version);
+        }
+        let own = Epoch(epoch.into());
+        if rules::renews(fence(m.plan), own, version.into()) {
+            let receipt = fault == Fault::CountLeaseFromReceipt;
+            let from = if receipt { NOW } else { at(echo) };
+            let until = rel(rules::lease_end(from, term as u64));
+            m.until = m.until.max(until);
+        }
+        if m.holds && self.leaders[usize::from(epoch)] != Some(from) {
+            self.broken = Some("an assignment is not in the record");
+        }
+    }
+
+    fn give(&mut self, me: u8, member: u8, bounds: &Bounds) {
+        let node = &mut self.nodes[usize::from(me)];
+        let Some(lead) = &mut node.lead else { return };
+        let may = rules::may_give(lead.free, at(lead.orphan), NOW)
+            || bounds.fault == Fault::GrantOrphansAtOnce;
+        if lead.owner.is_none() && may && lead.version < bounds.versions {
+            lead.version += 1;
+            lead.owner = Some(member);
+            (lead.free, lead.revoked) = (false, None);
+        }
+    }
+
+    fn revoke(&mut self, me: u8, bounds: &Bounds) {
+        let node = &mut self.nodes[usize::from(me)];
+        let Some(lead) = &mut node.lead else { return };
+        if lead.owner.is_none()
+            || lead.revoked.is_some()
+            || lead.version >= bounds.versions
+        {
+            return;
+        }
+        lead.version += 1;
+        lead.revoked = Some(lead.version);
+        if bounds.fault == Fault::GrantBeforeRelease {
+            (lead.owner, lead.free, lead.revoked) = (None, true, None);
+        }
+    }
+
+    /// The lease of the owner has ended for certain.
+    fn lapse(&mut self, me: u8, bounds: &Bounds) {
+        let node = &mut self.nodes[usize::from(me)];
+        let Some(lead) = &mut node.lead else { return };
+        let Some(owner) = lead.owner else { return };
+        let latest = at(lead.latest[usize::from(owner)]);
+        if (rules::lapsed(latest, NOW)
+            || bounds.fault == Fault::GrantBeforeLapse)
+            && lead.version < bounds.versions
+        {
+            (lead.owner, lead.free, lead.revoked) = (None, true, None);
+            // The former owner's plan must not be renewed as it is.
+            lead.version += u8::from(bounds.fault != Fault::RenewLapsedPlan);
+        }
+    }
+
+    fn write(&mut self, me: u8, mut rec: Rec, bounds: &Bounds) {
+        let node = &mut self.nodes[usize::from(me)];
+        if node.calling
+            || self.written >= bounds.writes
+            || self.writes.len() >= FLIGHT
+        {
+            return;
+        }
+        self.written += 1;
+        rec.writer = self.written;
+        node.calling = true;
+        node.known(|k| k.sent(rec.full()));
+        let expect = node.version;
+        self.writes.push(Write { node: me, expect, rec, awaited: true });
+        self.writes.sort_unstable();
+        if bounds.fault == Fault::LeadBeforeAnswer && rec.leader == me {
+            self.lead(me, rec);
+        }
+    }
+
+    fn claim(&mut self, me: u8, bounds: &Bounds) {
+        let node = &self.nodes[usize::from(me)];
+        let Some(rec) = node.rec.filter(|_| node.lead.is_none()) else {
+            return;
+        };
+        let wait = bounds.fault != Fault::TakeOverWithoutWait;
+        let bound = if wait { at(node.bound) } else { Millis(0) };
+        let full = rec.full();
+        if !rules::may_claim(&full, addr(me), bound, at(node.seen), NOW) {
+            return;
+        }
+        let known = Epoch(node.epoch.into());
+        let mut next = Rec::of(&rules::successor(&full, addr(me), known));
+        // The other node is always a candidate.
+        next.standby = rec.standby && rec.leader == me;
+        if bounds.fault == Fault::KeepEpoch {
+            next.epoch = rec.epoch;
+        }
+        let orphan = rel(rules::orphan_end(&full, NOW));
+        self.nodes[usize::from(me)].orphan = orphan;
+        self.write(me, next, bounds);
+    }
+
+    /// The leader removes or adds its standby.
+    fn change_standby(&mut self, me: u8, bounds: &Bounds) {
+        let node = &self.nodes[usize::from(me)];
+        let (Some(rec), Some(lead)) = (node.rec, node.lead) else { return };
+        if rec.leader != me || rec.epoch != lead.epoch || rec.ceded {
+            return;
+        }
+        let ready = lead.answered.is_some_and(|sent| sent > -800)
+            || bounds.fault == Fault::AddStandbyWithoutPromise;
+        if rec.standby || ready {
+            self.write(me, Rec { standby: !rec.standby, ..rec }, bounds);
+        }
+    }
+
+    fn cede(&mut self, me: u8, bounds: &Bounds) {
+        let node = &self.nodes[usize::from(me)];
+        let (Some(rec), Some(lead)) = (node.rec, node.lead) else { return };
+        if rec.leader == me && rec.epoch == lead.epoch && rec.standby {
+            let next =
+                Rec { leader: 1 - me, standby: false, ceded: true, ..rec };
+            self.write(me, next, bounds);
+        }
+    }
+
+    /// The writer no longer waits for the answer.
+    fn give_up(&mut self, i: usize, fault: Fault) {
+        let write = &mut self.writes[i];
+        if !write.awaited {
+            return;
+        }
+        write.awaited = false;
+        let (rec, me) = (write.rec, usize::from(write.node));
+        self.nodes[me].calling = false;
+        if fault == Fault::ForgetUnknownWrite {
+            self.nodes[me].known(|k| k.withdrawn(rec.writer.into()));
+        }
+        if fault == Fault::RepeatBlindly {
+            let expect = self.store.0;
+            self.writes[i].expect = expect;
+        }
+        self.writes.sort_unstable();
+    }
+
+    /// A write reaches the store, and the answer the writer or nobody.
+    fn apply(&mut self, i: usize, answered: bool, fault: Fault) {
+        let write = self.writes.remove(i);
+        let rec = write.rec;
+        let holds = write.expect == self.store.0
+            || fault == Fault::WriteWithoutCondition;
+        if holds {
+            let old = self.store.1.epoch;
+            self.store = (self.store.0 + 1, rec);
+            let leader = &mut self.leaders[usize::from(rec.epoch)];
+            if rec.epoch < old {
+                self.broken = Some("the epoch went back");
+            } else if !rec.ceded && leader.is_some_and(|l| l != rec.leader) {
+                self.broken = Some("an epoch has two leaders");
+            } else if !rec.ceded {
+                *leader = Some(rec.leader);
+            }
+        }
+        let version = self.store.0;
+        let node = &mut self.nodes[usize::from(write.node)];
+        if !write.awaited {
+            return;
+        }
+        node.calling = false;
+        if !answered {
+            if fault == Fault::ForgetUnknownWrite {
+                node.known(|k| k.withdrawn(rec.writer.into()));
+            }
+        } else if holds {
+            node.known(|k| k.became(version.into(), rec.full()));
+            self.settle(write.node);
+        } else {
+            node.known(|k| k.withdrawn(rec.writer.into()));
+        }
+    }
+
+    fn read(&mut self, me: u8) {
+        let (version, rec) = self.store;
+        let node = &mut self.nodes[usize::from(me)];
+        if node.calling {
+            return;
+        }
+        let before = node.rec.map(|r| (r.epoch, r.ceded));
+        node.known(|k| k.became(version.into(), rec.full()));
+        if before.is_some_and(|b| b != (rec.epoch, rec.ceded)) {
+            node.seen = 0;
+        }
+        self.settle(me);
+    }
+
+    /// Acts on a record that was just read or written.
+    fn settle(&mut self, me: u8) {
+        let node = &mut self.nodes[usize::from(me)];
+        let Some(rec) = node.rec else { return };
+        node.epoch = node.epoch.max(rec.epoch);
+        let led = rec.leader == me && !rec.ceded;
+        if node.lead.is_some_and(|l| l.epoch != rec.epoch || !led) {
+            node.lead = None;
+        }
+        if node.lead.is_none() && led && node.own {
+            self.lead(me, rec);
+        }
+    }
+
+    fn lead(&mut self, me: u8, rec: Rec) {
+        let node = &mut self.nodes[usize::from(me)];
+        node.epoch = node.epoch.max(rec.epoch);
+        node.lead = Some(Lead {
+            epoch: rec.epoch,
+            answered: None,
+            orphan: node.orphan,
+            owner: None,
+            free: false,
+            revoked: None,
+            version: 0,
+            latest: [0, 0],
+        });
+    }
+
+    fn restart(&mut self, me: u8, fault: Fault) {
+        self.restarts += 1;
+        for write in &mut self.writes {
+            write.awaited &= write.node != me;
+        }
+        self.writes.sort_unstable();
+        self.nodes[usize::from(me)].restart(fault);
+    }
+}
+
+/// Explores all states. Returns their number and a shortest way to a
+/// violation, if there is one.
+fn explore(bounds: &Bounds) -> (usize, Option<Vec<State>>) {
+    let states = Cell::new(0);
+    let successors = |state: &State| {
+        states.set(states.get() + 1);
+        state.next(bounds)
+    };
+    let path =
+        bfs(&State::start(bounds), successors, |s| s.violated().is_some());
+    (states.get(), path)
+}
+
+const PLAIN: Bounds = Bounds {
+    fault: Fault::None,
+    delayed: 1,
+    late: Late::Any,
+    versions: 3,
+    standby: true,
+    writes: 1,
+    restarts: 0,
+    standbys: false,
+    cede: false,
+    moves: false,
+};
+
+fn sound(name: &str, bounds: &Bounds) {
+    let begun = std::time::Instant::now();
+    let (states, path) = explore(bounds);
+    println!("{name}: {states} states {:?}", begun.elapsed());
+    if let Some(path) = path {
+        for state in &path {
+            println!("{state:?}");
+        }
+        panic!("{:?}", path.last().and_then(State::violated));
+    }
+}
+
+#[test]
+fn takeover_never_gives_two_owners() {
+    let t = Bounds { versions: 1, ..PLAIN };
+    sound("w2 d0", &Bounds { writes: 2, delayed: 0, ..t });
+    sound("w3 d0", &Bounds { writes: 3, delayed: 0, ..t });
+    sound("w2 prom", &Bounds { writes: 2, late: Late::Promises, ..t });
+    sound("restart w1 d0", &Bounds { restarts: 1, delayed: 0, ..t });
+    sound(
+        "restart w1 prom",
+        &Bounds { restarts: 1, late: Late::Promises, ..t },
+    );
+    sound(
+        "standbys w2 d0",
+        &Bounds { writes: 2, standbys: true, delayed: 0, ..t },
+    );
+    sound(
+        "standbys w2 prom",
+        &Bounds { writes: 2, standbys: true, late: Late::Promises, ..t },
+    );
+    sound(
+        "cede w2 d0",
+        &Bounds { writes: 2, cede: true, delayed: 0, versions: 3, ..t },
+    );
+    sound(
+        "cede w2 leases",
+        &Bounds {
+            writes: 2,
+            cede: true,
+            late: Late::Leases,
+            versions: 2,
+            ..t
+        },
+    );
+}
