--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -628,3 +628,21 @@
     assert!(sim.all_served());
     assert!(sim.gap <= TARGET, "gap of {} ms", sim.gap);
 }
+
+#[test]
+fn restarted_leader_does_not_restore_the_one_that_it_replaced() {
+    let mut sim = settled(2, 44);
+    let old = sim.leader().unwrap();
+    sim.barred.insert(old);
+    sim.isolate(old, true);
+    sim.run(4_000);
+    assert_eq!(sim.record(0).unwrap().leader, addr(1 - old));
+    sim.barred.extend([0, 1]);
+    sim.restart(1 - old);
+    sim.isolate(old, false);
+    sim.run(4_000);
+    assert_eq!(sim.spread(), vec![0, 0]);
+    sim.barred.clear();
+    sim.run(4_000);
+    assert!(sim.all_served());
+}
