--- a/crates/core/tests/requests/main.rs
+++ b/crates/core/tests/requests/main.rs
@@ -2,4 +2,7 @@
 
 mod dedupe;
 mod flow;
+mod members;
+mod poison;
+mod random;
 mod support;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -6,7 +6,7 @@
 //! the others as possibly run.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::io;
 use std::rc::Rc;
@@ -20,7 +20,7 @@
 use local_sync::oneshot;
 use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, Splitable};
 use monoio::net::TcpStream;
-use monoio::net::tcp::TcpOwnedWriteHalf;
+use monoio::net::tcp::{TcpOwnedReadHalf, TcpOwnedWriteHalf};
 use monoio::time::timeout;
 
 use crate::clock;
@@ -34,6 +34,23 @@
 /// Time for a peer to answer a question for a document.
 const FETCH_LIMIT: Duration = Duration::from_secs(2);
 
+/// Interval at which a connection with requests is looked at.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Looks in a row without a frame from the peer after which it is asked
+/// whether it still runs.
+const LOOKS_PING: u32 = 2;
+
+/// Looks in a row without a frame after which the connection is given up.
+/// The time, 1,500 ms, is the term of a lease: a process that was frozen
+/// for so long has lost its shards. Looks are counted rather than time, so
+/// that a process that was frozen itself hears its peers before it judges.
+const LOOKS_DEAD: u32 = 6;
+
+/// Time for a peer that was given up before to show life on a new
+/// connection.
+const GREET_LIMIT: Duration = Duration::from_millis(500);
+
 /// Time after which a connection without requests is closed.
 const IDLE_LIMIT: Duration = Duration::from_mins(1);
 
@@ -50,15 +67,25 @@
     links: Links,
 }
 
-type Links = Rc<RefCell<HashMap<NodeAddr, Rc<Link>>>>;
+type Links = Rc<RefCell<Known>>;
+
+#[derive(Debug, Default)]
+struct Known {
+    links: HashMap<NodeAddr, Rc<Link>>,
+    /// Peers that were given up and have shown no life since.
+    silent: HashSet<NodeAddr>,
+}
 
 /// A connection to one peer.
 struct Link {
     to: NodeAddr,
+    name: Rc<str>,
     queue: Tx<Item>,
     waiting: RefCell<HashMap<u64, Waiting>>,
     next: Cell<u64>,
     size: Cell<usize>,
+    /// Looks since the last frame from the peer.
+    quiet: Cell<u32>,
 }
 
 /// What the writer of a connection takes.
@@ -115,24 +142,26 @@
     /// Bytes that have not been written yet.
     #[must_use]
     pub fn unwritten(&self) -> usize {
-        let links = self.links.borrow();
+        let links = &self.links.borrow().links;
         links.values().map(|link| link.size.get()).sum()
     }
 
     fn link(&self, to: NodeAddr) -> Rc<Link> {
-        let mut links = self.links.borrow_mut();
-        if let Some(link) = links.get(&to) {
+        let mut known = self.links.borrow_mut();
+        if let Some(link) = known.links.get(&to) {
             return Rc::clone(link);
         }
         let (queue, due) = unbounded::channel();
         let link = Rc::new(Link {
             to,
+            name: to.to_string().into(),
             queue,
             waiting: RefCell::default(),
             next: Cell::new(1),
             size: Cell::new(0),
+            quiet: Cell::new(0),
         });
-        links.insert(to, Rc::clone(&link));
+        known.links.insert(to, Rc::clone(&link));
         let task = Rc::clone(&link);
         let links = Rc::clone(&self.links);
         monoio::spawn(async move {
@@ -249,22 +278,75 @@
             .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
         let _ = stream.set_nodelay(true);
         user_timeout(&stream);
-        let (read, write) = stream.into_split();
+        let (read, mut write) = stream.into_split();
+        let mut reader = FrameReader::new(read);
+        let silent = links.borrow().silent.contains(&self.to);
+        if silent {
+            self.greet(&mut reader, &mut write).await?;
+            links.borrow_mut().silent.remove(&self.to);
+        }
         let writer = Rc::clone(self);
         let shared = Rc::clone(links);
         monoio::spawn(async move { writer.write(due, write, &shared).await });
-        let mut reader = FrameReader::new(read);
-        while let Ok(Some((frame, body))) = reader.next().await {
-            self.receive(frame, body);
+        let frames = async {
+            while let Ok(Some((frame, body))) = reader.next().await {
+                self.quiet.set(0);
+                self.receive(frame, body);
+            }
+        };
+        monoio::select! {
+            () = frames => {}
+            () = self.watch() => {
+                links.borrow_mut().silent.insert(self.to);
+            }
         }
         Ok(())
     }
 
+    /// Waits for a sign of life of a peer that was given up before, so that
+    /// requests that would wait for it again are known not to have run.
+    async fn greet(
+        &self,
+        reader: &mut FrameReader<TcpOwnedReadHalf>,
+        stream: &mut TcpOwnedWriteHalf,
+    ) -> io::Result<()> {
+        let ping = Frame::Ping { id: self.next_id() };
+        let ping = encode(&ping, b"").map_err(io::Error::other)?;
+        stream.write_all(ping).await.0?;
+        match timeout(GREET_LIMIT, reader.next()).await {
+            Ok(Ok(Some(_))) => Ok(()),
+            _ => Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+
+    /// Returns when the peer has requests but shows no sign of life.
+    async fn watch(&self) {
+        loop {
+            monoio::time::sleep(LOOK_INTERVAL).await;
+            if self.waiting.borrow().is_empty() {
+                self.quiet.set(0);
+                continue;
+            }
+            let quiet = self.quiet.get() + 1;
+            self.quiet.set(quiet);
+            if quiet == LOOKS_DEAD {
+                return;
+            }
+            if quiet != LOOKS_PING {
+                continue;
+            }
+            let ping = Frame::Ping { id: self.next_id() };
+            if let Ok(bytes) = encode(&ping, b"") {
+                self.push(Item::Other(bytes));
+            }
+        }
+    }
+
     fn receive(&self, frame: Frame, body: Bytes) {
         let (id, incoming) = match frame {
             Frame::Answer(answer) => {
                 let id = answer.id;
-                let answer = answer_of(answer, body, self.to.to_string());
+                let answer = answer_of(answer, body, Rc::clone(&self.name));
                 (id, Incoming::Reply(answer.map_err(|_| unusable())))
             }
             Frame::Refused { id, refusal } => {
@@ -273,7 +355,8 @@
             Frame::Config { id, version } => {
                 (id, Incoming::Document(version, body.to_vec()))
             }
-            // A peer asks its questions on a connection of its own.
+            // A pong has done its work by arriving. A peer asks questions
+            // on a connection of its own.
             _ => return,
         };
         // An answer to a cancelled request finds nobody waiting.
@@ -349,7 +432,7 @@
     }
 
     fn forget(&self, links: &Links) {
-        let mut links = links.borrow_mut();
+        let links = &mut links.borrow_mut().links;
         let own = links.get(&self.to);
         if own.is_some_and(|link| std::ptr::eq(link.as_ref(), self)) {
             links.remove(&self.to);
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -18,8 +18,8 @@
 
 use crate::http::COPY_MAX;
 use crate::message::{
-    Answer, Call, DEADLINE, FENCE, KEY, NODE, PARTNER, Reply, SCOPE, SERVICE,
-    SHARD, TOKEN, TRACE, fingerprint, is_idempotent, strip_hop_headers,
+    Answer, Call, DEADLINE, KEY, NODE, PARTNER, Reply, SCOPE, SERVICE, TOKEN,
+    TRACE, drop_named, fingerprint, is_idempotent,
 };
 use crate::ops;
 use crate::problem;
@@ -33,18 +33,6 @@
 /// Most connections from callers at once.
 pub const CONNECTIONS_MAX: usize = 1_024;
 
-/// Time for which a connection may be idle between requests.
-const IDLE_LIMIT: Duration = Duration::from_mins(1);
-
-/// Time for a caller to send a request head.
-const HEAD_LIMIT: Duration = Duration::from_secs(10);
-
-/// Time for a caller to send a request body.
-const BODY_LIMIT: Duration = Duration::from_secs(30);
-
-/// Time for a caller to take an answer.
-const WRITE_LIMIT: Duration = Duration::from_secs(30);
-
 /// Time for which a refused caller's remaining bytes are read, so that the
 /// reset for unread bytes does not overtake the refusal.
 const LINGER: Duration = Duration::from_secs(1);
@@ -55,6 +43,30 @@
 /// Longest deadline, in milliseconds.
 const DEADLINE_MAX: u64 = 60_000;
 
+/// Times that a caller may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// For which a connection may be idle between requests.
+    pub idle: Duration,
+    /// To send a request head.
+    pub head: Duration,
+    /// To send a request body.
+    pub body: Duration,
+    /// To take an answer.
+    pub write: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            idle: Duration::from_mins(1),
+            head: Duration::from_secs(10),
+            body: Duration::from_secs(30),
+            write: Duration::from_secs(30),
+        }
+    }
+}
+
 /// A response as the server writes it.
 #[derive(Debug)]
 pub struct Served {
@@ -64,6 +76,10 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// The node that answers or refuses.
+    pub node: Option<Rc<str>>,
+    /// The idempotency scope to name.
+    pub scope: Option<String>,
 }
 
 /// A request that is refused before the reducer sees it.
@@ -74,7 +90,7 @@
 }
 
 /// Serves callers until the process ends.
-pub fn listen(listener: TcpListener, shell: &Shell) {
+pub fn listen(listener: TcpListener, shell: &Shell, limits: Limits) {
     let shell = shell.clone();
     let open = Rc::new(Cell::new(0_usize));
     monoio::spawn(async move {
@@ -85,9 +101,9 @@
             let shell = shell.clone();
             monoio::spawn(async move {
                 if count.get() > CONNECTIONS_MAX {
-                    turn_away(stream, &shell).await;
+                    turn_away(stream, &shell, limits).await;
                 } else {
-                    serve(stream, &shell).await;
+                    serve(stream, &shell, limits).await;
                 }
                 count.set(count.get() - 1);
             });
@@ -95,48 +111,62 @@
     });
 }
 
-async fn turn_away(stream: TcpStream, shell: &Shell) {
+async fn turn_away(stream: TcpStream, shell: &Shell, limits: Limits) {
     let detail = "the node has no room for another connection";
     let mut refusal = Refusal::new(Reason::Overloaded, detail);
     refusal.retry_after = Some(1_000);
     let mut conn = Conn::new(stream);
+    conn.limit_writes(limits.write);
     let response = refused(shell, refusal);
     let _ = write(&mut conn, &response, Version::HTTP_11, false, true).await;
     drain(&mut conn).await;
 }
 
-async fn serve(stream: TcpStream, shell: &Shell) {
+async fn serve(stream: TcpStream, shell: &Shell, limits: Limits) {
     let mut conn = Conn::new(stream);
+    conn.limit_writes(limits.write);
     loop {
         if !conn.has_unread() {
-            match timeout(IDLE_LIMIT, conn.fill()).await {
+            match timeout(limits.idle, conn.fill()).await {
                 Ok(Ok(1..)) => {}
                 _ => return,
             }
         }
-        let head = match timeout(HEAD_LIMIT, conn.request_head()).await {
+        let head = match timeout(limits.head, conn.request_head()).await {
             Ok(Ok(Some(head))) => head,
-            Ok(Ok(None) | Err(WireError::Closed)) => return,
+            Ok(Ok(None)) => return,
             Ok(Err(error)) => {
                 shell.malformed("caller", &error);
+                if matches!(error, WireError::Closed) {
+                    return;
+                }
                 return reject(conn, shell, rejected(&error)).await;
             }
             Err(_) => {
                 return reject(conn, shell, late("request head")).await;
             }
         };
-        if !request(&mut conn, head, shell).await {
+        if !request(&mut conn, head, shell, limits.body).await {
             return;
         }
     }
 }
 
 /// Handles one request; false if the connection cannot carry another.
-async fn request(conn: &mut Conn, head: RequestHead, shell: &Shell) -> bool {
-    let body = match body(conn, &head).await {
+async fn request(
+    conn: &mut Conn,
+    head: RequestHead,
+    shell: &Shell,
+    limit: Duration,
+) -> bool {
+    let body = match body(conn, &head, limit).await {
         Ok(Some(body)) => body,
-        Ok(None) => return false,
+        Ok(None) => {
+            shell.malformed("caller", &"the request body was cut off");
+            return false;
+        }
         Err(rejection) => {
+            shell.malformed("caller", &rejection.detail);
             let response = rejection.response(shell);
             let version = head.version;
             let _ = write(conn, &response, version, false, true).await;
@@ -170,6 +200,7 @@
 async fn body(
     conn: &mut Conn,
     head: &RequestHead,
+    limit: Duration,
 ) -> Result<Option<Bytes>, Rejected> {
     let framing =
         request_framing(&head.headers).map_err(|error| rejected(&error))?;
@@ -180,7 +211,7 @@
             return Ok(None);
         }
     }
-    match timeout(BODY_LIMIT, conn.body(framing, BODY_MAX)).await {
+    match timeout(limit, conn.body(framing, BODY_MAX)).await {
         Ok(Ok(body)) => Ok(Some(body)),
         Ok(Err(WireError::Closed)) => Ok(None),
         Ok(Err(error)) => Err(rejected(&error)),
@@ -215,7 +246,7 @@
 /// stay in the buffer; the connection is not watched further then.
 async fn gone(conn: &mut Conn) {
     while !conn.has_unread() {
-        if let Ok(0) | Err(_) = conn.fill().await {
+        if let Ok(0) | Err(_) = conn.watch().await {
             return;
         }
     }
@@ -236,6 +267,10 @@
     if head.method == Method::CONNECT || ops::is_reserved(&path) {
         return Err(bad("the method or path is not forwarded"));
     }
+    // The owner's node accepts no other paths.
+    if !path.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(bad("the path is not ASCII"));
+    }
     let budget = match text(&headers, &DEADLINE)? {
         None => DEADLINE_DEFAULT,
         Some(text) => match text.parse() {
@@ -248,10 +283,7 @@
     let scope = text(&headers, &SCOPE)?;
     let partner = text(&headers, &PARTNER)?;
     let trace = text(&headers, &TRACE).unwrap_or_default();
-    strip_hop_headers(&mut headers);
-    for name in [DEADLINE, FENCE, SHARD, TRACE] {
-        headers.remove(name);
-    }
+    drop_named(&mut headers);
     let method = head.method;
     let fingerprint = fingerprint(&service, &method, &path, key, &body);
     Ok(Call {
@@ -326,15 +358,13 @@
 }
 
 fn served(answer: Answer) -> Served {
-    let mut headers = answer.headers;
-    headers.remove(SCOPE);
-    if let Ok(node) = answer.node.parse() {
-        headers.insert(NODE, node);
+    Served {
+        status: answer.status,
+        headers: answer.headers,
+        body: answer.body,
+        node: Some(answer.node),
+        scope: answer.scope,
     }
-    if let Some(scope) = answer.scope.and_then(|text| text.parse().ok()) {
-        headers.insert(SCOPE, scope);
-    }
-    Served { status: answer.status, headers, body: answer.body }
 }
 
 fn refused(shell: &Shell, refusal: Refusal) -> Served {
@@ -343,17 +373,12 @@
     let mut headers = HeaderMap::new();
     let media = header::HeaderValue::from_static(problem::MEDIA_TYPE);
     headers.insert(header::CONTENT_TYPE, media);
-    if let Ok(node) = shell.name().parse() {
-        headers.insert(NODE, node);
-    }
     if let Some(seconds) = problem::retry_after(&refusal) {
         headers.insert(header::RETRY_AFTER, seconds.into());
     }
     let body = problem::document(&refusal, status);
-    if let Some(scope) = refusal.scope.and_then(|text| text.parse().ok()) {
-        headers.insert(SCOPE, scope);
-    }
-    Served { status, headers, body }
+    let node = Some(shell.name());
+    Served { status, headers, body, node, scope: refusal.scope }
 }
 
 /// Writes a response; false if the caller did not take it.
@@ -364,8 +389,30 @@
     keep: bool,
     with_body: bool,
 ) -> bool {
-    let mut out =
-        BytesMut::with_capacity(512 + response.body.len().min(COPY_MAX));
+    put_head(conn.out(), response, version, keep, with_body);
+    let body = if with_body { &response.body[..] } else { &[] };
+    let copied = body.len() <= COPY_MAX;
+    if copied {
+        conn.out().extend_from_slice(body);
+    }
+    let limit = conn.write_limit();
+    let sent = timeout(limit, async {
+        let sent = conn.flush().await.is_ok();
+        if copied || !sent {
+            return sent;
+        }
+        conn.write(response.body.clone()).await.is_ok()
+    });
+    sent.await.unwrap_or(false)
+}
+
+fn put_head(
+    out: &mut BytesMut,
+    response: &Served,
+    version: Version,
+    keep: bool,
+    with_body: bool,
+) {
     let status = response.status;
     out.extend_from_slice(b"HTTP/1.1 ");
     out.extend_from_slice(status.as_str().as_bytes());
@@ -375,25 +422,20 @@
     out.extend_from_slice(b"\r\n");
     let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
     if with_body && !bodiless.contains(&status) {
-        let size = response.body.len() as u64;
-        put_number(&mut out, "content-length", size);
+        put_number(out, "content-length", response.body.len() as u64);
     }
     if !keep {
-        put_header(&mut out, "connection", b"close");
+        put_header(out, "connection", b"close");
     } else if version != Version::HTTP_11 {
-        put_header(&mut out, "connection", b"keep-alive");
+        put_header(out, "connection", b"keep-alive");
     }
-    put_headers(&mut out, &response.headers);
-    out.extend_from_slice(b"\r\n");
-    let mut body =
-        if with_body { response.body.clone() } else { Bytes::new() };
-    if body.len() <= COPY_MAX {
-        out.extend_from_slice(&body);
-        body = Bytes::new();
+    put_headers(out, &response.headers);
+    if let Some(node) = &response.node {
+        put_header(out, NODE.as_str(), node.as_bytes());
     }
-    let sent = timeout(WRITE_LIMIT, async {
-        conn.write(out).await?;
-        if body.is_empty() { Ok(()) } else { conn.write(body).await }
-    });
-    matches!(sent.await, Ok(Ok(())))
+    let clean = |text: &&String| text.bytes().all(|b| b.is_ascii_graphic());
+    if let Some(scope) = response.scope.as_ref().filter(clean) {
+        put_header(out, SCOPE.as_str(), scope.as_bytes());
+    }
+    out.extend_from_slice(b"\r\n");
 }
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -8,15 +8,16 @@
 use std::collections::{HashMap, VecDeque};
 use std::fmt;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use lagoondyke_core::clock::{Millis, TICK};
-use lagoondyke_core::effect::{Effect, StoreOp};
+use lagoondyke_core::control::Control;
+use lagoondyke_core::effect::{Effect, Notice, StoreOp};
 use lagoondyke_core::event::{Event, Outcome, Source};
-use lagoondyke_core::id::{CallId, Fence, NodeAddr, Shard, Ticket};
+use lagoondyke_core::id::{CallId, Fence, KeyHash, NodeAddr, Shard, Ticket};
 use lagoondyke_core::node::Node;
 use lagoondyke_core::settings::Settings;
-use lagoondyke_core::status::Status;
+use lagoondyke_core::status::{Located, Status};
 use lagoondyke_core::verdict::{Reason, Refusal, Verdict};
 use local_sync::oneshot;
 use slab::Slab;
@@ -25,9 +26,9 @@
 use crate::clock;
 use crate::logs;
 use crate::message::{Answer, Call, Reply};
-use crate::ports::{
-    Control, Dispatch, Forward, Local, Peers, Store, Upstream,
-};
+use crate::metrics::{HopKind, Metrics, SAMPLE, store_kind};
+use crate::ports::{self, Dispatch, Forward, Local, Peers, Store, Upstream};
+use crate::trace::{Span, Tracer};
 
 /// Takes the reply of a request; called once.
 pub type Done = Box<dyn FnOnce(Reply)>;
@@ -41,7 +42,7 @@
     /// Other nodes, for requests and documents.
     pub peers: Rc<dyn Peers>,
     /// Other nodes, for control datagrams.
-    pub control: Rc<dyn Control>,
+    pub control: Rc<dyn ports::Control>,
 }
 
 impl fmt::Debug for Ports {
@@ -50,6 +51,17 @@
     }
 }
 
+/// Where a shell records what it does.
+#[derive(Debug)]
+pub struct Records {
+    /// Log lines.
+    pub log: Logger,
+    /// Metrics.
+    pub metrics: Rc<Metrics>,
+    /// Spans.
+    pub tracer: Tracer,
+}
+
 /// A handle of the loop; clones share it.
 #[derive(Clone, Debug)]
 pub struct Shell {
@@ -59,11 +71,15 @@
 #[derive(Debug)]
 struct Inner {
     settings: Settings,
-    name: String,
+    name: Rc<str>,
     ports: Ports,
     log: Logger,
+    metrics: Rc<Metrics>,
+    tracer: Tracer,
     node: RefCell<Node>,
     queue: RefCell<VecDeque<Event>>,
+    /// Emptied between two runs; kept for its memory.
+    effects: RefCell<Vec<Effect>>,
     running: Cell<bool>,
     stopping: Cell<bool>,
     exited: Cell<bool>,
@@ -78,6 +94,9 @@
 struct Entry {
     generation: u32,
     call: Rc<Call>,
+    source: Source,
+    since: Instant,
+    span: Option<Span>,
     done: Option<Done>,
     hops: Vec<Attempt>,
 }
@@ -122,15 +141,19 @@
         settings: Settings,
         node: Node,
         ports: Ports,
-        log: Logger,
+        records: Records,
     ) -> Self {
+        let Records { log, metrics, tracer } = records;
         let inner = Inner {
-            name: settings.addr.to_string(),
+            name: settings.addr.to_string().into(),
             settings,
             ports,
             log,
+            metrics,
+            tracer,
             node: RefCell::new(node),
             queue: RefCell::default(),
+            effects: RefCell::default(),
             running: Cell::new(false),
             stopping: Cell::new(false),
             exited: Cell::new(false),
@@ -151,8 +174,8 @@
 
     /// The node's name in answers: its address.
     #[must_use]
-    pub fn name(&self) -> &str {
-        &self.inner.name
+    pub fn name(&self) -> Rc<str> {
+        Rc::clone(&self.inner.name)
     }
 
     /// The node's log.
@@ -166,6 +189,18 @@
         self.inner.node.borrow().status(clock::now())
     }
 
+    /// Where this node would send a request for a key. The first question
+    /// may only start the search for the owner.
+    #[must_use]
+    pub fn locate(&self, service: &str, key: KeyHash) -> Located {
+        let at = self.inner.node.borrow().locate(service, key);
+        if at.owner.is_none() {
+            let service = service.to_owned();
+            self.post(Event::Inquired { service, key });
+        }
+        at
+    }
+
     /// The configuration document in force and its version.
     #[must_use]
     pub fn document(&self) -> (u64, Vec<u8>) {
@@ -223,22 +258,48 @@
         while self.inner.unwritten.get() > 0 && clock::now() < end {
             monoio::time::sleep(Duration::from_millis(1)).await;
         }
+        self.inner.tracer.close();
+    }
+
+    /// The node's metrics.
+    #[must_use]
+    pub fn metrics(&self) -> &Metrics {
+        &self.inner.metrics
     }
 
     /// Counts input that could not be decoded.
-    pub fn malformed(&self, socket: &str, error: &dyn fmt::Display) {
+    pub fn malformed(&self, socket: &'static str, error: &dyn fmt::Display) {
+        self.inner.metrics.malformed(socket);
         slog::debug!(self.inner.log, "malformed input";
             "socket" => socket, "error" => error.to_string());
     }
 
+    /// Samples the node's state for the metrics.
+    pub fn sample(&self) {
+        let now = clock::now();
+        let inner = &self.inner;
+        let node = inner.node.borrow();
+        let services = node.config().map(|config| &config.services);
+        let own = services.and_then(|all| all.get(&inner.settings.service));
+        let led = own.map_or(0, |spec| spec.shards / spec.groups.max(1));
+        inner.metrics.sample(&node.status(now), usize::from(led), now);
+        inner.metrics.outstanding(self.outstanding());
+        inner.metrics.spans_dropped(inner.tracer.dropped());
+    }
+
     /// Delivers ticks, and reports of the upstream, until the node exits.
     pub async fn run(&self, mut poll: impl FnMut(&Self)) {
         let shell = self.clone();
         let report = Rc::new(move |event| shell.post(event));
         self.inner.ports.upstream.watch(report);
+        let mut sampled = Instant::now();
         while !self.has_exited() {
             poll(self);
             self.post(Event::Tick);
+            if sampled.elapsed() >= SAMPLE {
+                sampled = Instant::now();
+                self.sample();
+            }
             monoio::time::sleep(Duration::from_millis(TICK)).await;
         }
     }
@@ -251,6 +312,9 @@
         let entry = Entry {
             generation,
             call: Rc::clone(&call),
+            source,
+            since: Instant::now(),
+            span: self.span(source, call.trace.as_deref()),
             done: Some(done),
             hops: Vec::new(),
         };
@@ -265,6 +329,14 @@
         ticket
     }
 
+    fn span(&self, source: Source, trace: Option<&str>) -> Option<Span> {
+        let name = match source {
+            Source::Caller => "ingress",
+            Source::Peer => "owner",
+        };
+        self.inner.tracer.start(name, trace)
+    }
+
     /// Says that whoever sent a request went away.
     pub fn cancel(&self, ticket: Ticket) {
         let mut known = false;
@@ -285,7 +357,7 @@
         if inner.running.replace(true) {
             return;
         }
-        let mut effects = Vec::new();
+        let mut effects = inner.effects.take();
         loop {
             let event = inner.queue.borrow_mut().pop_front();
             let Some(event) = event else { break };
@@ -295,12 +367,18 @@
                 self.perform(effect);
             }
         }
+        inner.effects.replace(effects);
         inner.running.set(false);
     }
 
     fn perform(&self, effect: Effect) {
         match effect {
             Effect::Send { to, message } => {
+                if let Control::Lease(lease) = &message
+                    && let Some(plan) = &lease.plan
+                {
+                    self.inner.metrics.planned(to, plan);
+                }
                 self.inner.ports.control.send(to, &message);
             }
             Effect::Store { call, op } => self.store(call, op),
@@ -308,7 +386,12 @@
             Effect::Grant { shards, until } => {
                 self.inner.ports.upstream.grant(shards, until);
             }
-            Effect::Notice(notice) => logs::notice(&self.inner.log, &notice),
+            Effect::Notice(notice) => {
+                if let Notice::LeaseEnded { shards } = notice {
+                    self.inner.metrics.lease_ended(shards);
+                }
+                logs::notice(&self.inner.log, &notice);
+            }
             Effect::Exit => self.inner.exited.set(true),
             request => self.perform_request(request),
         }
@@ -346,10 +429,12 @@
     }
 
     fn store(&self, call: CallId, op: StoreOp) {
+        let kind = store_kind(&op);
         let answer = self.inner.ports.store.call(op);
         let shell = self.clone();
         monoio::spawn(async move {
             let outcome = answer.await;
+            shell.inner.metrics.store(kind, &outcome);
             shell.post(Event::Stored { call, outcome });
         });
     }
@@ -384,14 +469,14 @@
         to: NodeAddr,
         deadline: Millis,
     ) {
-        let Some(call) = self.with(ticket, |entry| Rc::clone(&entry.call))
-        else {
+        let Some((call, span)) = self.with(ticket, Entry::next) else {
             return self.gone(ticket, Hop::Peer(attempt));
         };
-        let trace = call.trace.clone();
+        let span = span.map(|span| span.child("forward"));
+        let trace = header(span.as_ref(), &call);
         let forward = Forward { to, call, deadline, trace };
         let reply = self.inner.ports.peers.forward(forward);
-        self.start(ticket, Hop::Peer(attempt), reply);
+        self.start(ticket, Hop::Peer(attempt), span, reply);
     }
 
     fn dispatch(
@@ -400,14 +485,14 @@
         fence: Option<(Shard, Fence)>,
         deadline: Millis,
     ) {
-        let Some(call) = self.with(ticket, |entry| Rc::clone(&entry.call))
-        else {
+        let Some((call, span)) = self.with(ticket, Entry::next) else {
             return self.gone(ticket, Hop::Upstream);
         };
-        let trace = call.trace.clone();
+        let span = span.map(|span| span.child("dispatch"));
+        let trace = header(span.as_ref(), &call);
         let dispatch = Dispatch { call, fence, deadline, trace };
         let reply = self.inner.ports.upstream.run(dispatch);
-        self.start(ticket, Hop::Upstream, reply);
+        self.start(ticket, Hop::Upstream, span, reply);
     }
 
     /// Reports the failure of an attempt of a request that is unknown here.
@@ -419,7 +504,13 @@
     }
 
     /// Runs an attempt in its own task until it ends or is aborted.
-    fn start(&self, ticket: Ticket, hop: Hop, reply: Local<Reply>) {
+    fn start(
+        &self,
+        ticket: Ticket,
+        hop: Hop,
+        span: Option<Span>,
+        reply: Local<Reply>,
+    ) {
         let (abort, aborted) = oneshot::channel::<()>();
         let serial = self.inner.serials.get() + 1;
         self.inner.serials.set(serial);
@@ -427,15 +518,44 @@
         let attempt = Attempt { hop, serial, abort, answer: None };
         self.with(ticket, |entry| entry.hops.push(attempt));
         let shell = self.clone();
+        let since = Instant::now();
+        let kind = match hop {
+            Hop::Peer(_) => HopKind::Peer,
+            Hop::Upstream => HopKind::Upstream,
+        };
         monoio::spawn(async move {
             monoio::select! {
                 biased;
-                _ = aborted => {}
-                reply = reply => shell.attempt_done(ticket, serial, reply),
+                _ = aborted => shell.trace(span, None),
+                reply = reply => {
+                    shell.inner.metrics.hop(kind, since);
+                    shell.trace(span, Some(&reply));
+                    shell.attempt_done(ticket, serial, reply);
+                }
             }
         });
     }
 
+    /// Ends a span; without a reply its request was aborted.
+    fn trace(&self, span: Option<Span>, reply: Option<&Reply>) {
+        let Some(span) = span else { return };
+        let mut fields = Vec::new();
+        match reply {
+            None => fields.push(("lagoondyke.aborted", "true".to_owned())),
+            Some(Ok(answer)) => {
+                let status = answer.status.as_str().to_owned();
+                fields.push(("http.response.status_code", status));
+                fields.push(("lagoondyke.node", answer.node.to_string()));
+            }
+            Some(Err(refusal)) => {
+                let reason = refusal.reason.name().to_owned();
+                fields.push(("lagoondyke.reason", reason));
+            }
+        }
+        let failed = !matches!(reply, Some(Ok(_)));
+        self.inner.tracer.end(span, fields, failed);
+    }
+
     fn attempt_done(&self, ticket: Ticket, serial: u64, reply: Reply) {
         let ended = self.with(ticket, |entry| entry.end(serial, reply));
         // An attempt that was aborted while it ended reports nothing.
@@ -492,13 +612,25 @@
         }
         let (_, index) = parts(ticket);
         let entry = self.inner.requests.borrow_mut().remove(index);
+        self.inner.metrics.ended(entry.source, &reply, entry.since);
+        self.trace(entry.span, Some(&reply));
         if let Some(done) = entry.done {
             done(reply);
         }
     }
 }
 
+/// The trace context for the next hop: this hop's, or as it came.
+fn header(span: Option<&Span>, call: &Call) -> Option<String> {
+    span.map(Span::header).or_else(|| call.trace.clone())
+}
+
 impl Entry {
+    /// What the next attempt starts from.
+    fn next(&mut self) -> (Rc<Call>, Option<Span>) {
+        (Rc::clone(&self.call), self.span.clone())
+    }
+
     /// Notes the end of an attempt; `None` if it was aborted.
     fn end(&mut self, serial: u64, reply: Reply) -> Option<(Hop, Outcome)> {
         let mut hops = self.hops.iter_mut();
