--- /dev/null
+++ b/crates/core/tests/routing.rs
@@ -0,0 +1,171 @@
+//! The routing cache: shared look-ups, limits on questions, stale maps.
+
+use std::collections::BTreeMap;
+
+use lagoondyke_core::clock::Millis;
+use lagoondyke_core::config::Service;
+use lagoondyke_core::control::{
+    Control, GroupMap, MapMember, NotLeader, OwnerRun,
+};
+use lagoondyke_core::effect::Effect;
+use lagoondyke_core::event::StoreOutcome;
+use lagoondyke_core::id::{Epoch, GroupId, Incarnation, KeyHash, NodeAddr};
+use lagoondyke_core::record::{Record, Tenure};
+use lagoondyke_core::route::{Lookup, Routes};
+
+const KEY: KeyHash = KeyHash(5);
+
+fn spec() -> Service {
+    Service {
+        keyed: true,
+        shards: 16,
+        groups: 1,
+        fenced: false,
+        shares: BTreeMap::new(),
+        partners: BTreeMap::new(),
+        hedge: false,
+    }
+}
+
+fn addr(port: u16) -> NodeAddr {
+    NodeAddr(([127, 0, 0, 1], port).into())
+}
+
+fn map(epoch: u32, version: u32, owner: u16) -> GroupMap {
+    GroupMap {
+        group: GroupId::of("katalog", 0),
+        epoch: Epoch(epoch),
+        version,
+        parts: 1,
+        members: vec![MapMember {
+            addr: addr(owner),
+            incarnation: Incarnation(1),
+            domain: 0,
+            limit: 10,
+        }],
+        owners: vec![OwnerRun { count: 16, owner: Some(0) }],
+        ..GroupMap::default()
+    }
+}
+
+/// A cache that asks one node for one key.
+struct Ingress {
+    routes: Routes,
+    reads: usize,
+    asked: Vec<NodeAddr>,
+}
+
+impl Ingress {
+    fn new() -> Self {
+        Self { routes: Routes::new(), reads: 0, asked: Vec::new() }
+    }
+
+    /// Asks for the owner; the store names the node with port 1 as leader.
+    fn owner(&mut self, now: u64) -> Lookup {
+        let mut out = Vec::new();
+        let now = Millis(now);
+        let found = self.routes.owner("katalog", &spec(), KEY, now, &mut out);
+        self.perform(out, now);
+        found
+    }
+
+    fn stale(&mut self, now: u64) {
+        let mut out = Vec::new();
+        let (now, spec) = (Millis(now), spec());
+        self.routes.stale("katalog", &spec, Some(KEY), now, &mut out);
+        self.perform(out, now);
+    }
+
+    fn take(&mut self, from: u16, message: &Control, now: u64) {
+        let mut out = Vec::new();
+        self.routes.datagram(addr(from), message, Millis(now), &mut out);
+        self.perform(out, Millis(now));
+    }
+
+    fn perform(&mut self, out: Vec<Effect>, now: Millis) {
+        for effect in out {
+            match effect {
+                Effect::Send { to, .. } => self.asked.push(to),
+                Effect::Store { call, .. } => {
+                    self.reads += 1;
+                    let value = Record {
+                        epoch: Epoch(1),
+                        leader: addr(1),
+                        standbys: Vec::new(),
+                        writer: 0,
+                        tenure: Tenure::Led,
+                    }
+                    .encode();
+                    let read = StoreOutcome::Read { version: 1, value };
+                    let mut out = Vec::new();
+                    self.routes.stored(call, read, now, &mut out);
+                    self.perform(out, now);
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Guards against a question for each request that waits.
+#[test]
+fn waiting_requests_share_one_read_and_one_question() {
+    let mut ingress = Ingress::new();
+    for _ in 0..100 {
+        assert_eq!(ingress.owner(1_000), Lookup::Wait);
+    }
+    assert_eq!((ingress.reads, ingress.asked.len()), (1, 1));
+    ingress.take(1, &Control::Map(map(1, 1, 9)), 1_001);
+    assert_eq!(ingress.owner(1_002), Lookup::Owner(addr(9)));
+}
+
+/// Guards against a flood of questions while an owner is wrong.
+#[test]
+fn stale_maps_are_asked_for_at_a_limited_rate() {
+    let mut ingress = Ingress::new();
+    ingress.owner(1_000);
+    for now in 1_001..2_001 {
+        ingress.stale(now);
+        ingress.take(1, &Control::Map(map(1, 1, 9)), now);
+    }
+    assert!(ingress.asked.len() <= 7, "{} questions", ingress.asked.len());
+}
+
+/// Guards against a late map of a replaced leader.
+#[test]
+fn map_of_an_earlier_epoch_is_ignored() {
+    let mut ingress = Ingress::new();
+    ingress.owner(1_000);
+    ingress.take(2, &Control::Map(map(2, 1, 9)), 1_001);
+    ingress.take(1, &Control::Map(map(1, 50, 8)), 1_002);
+    assert_eq!(ingress.owner(1_003), Lookup::Owner(addr(9)));
+}
+
+/// Guards against a store read for each change of leader.
+#[test]
+fn hint_to_the_next_leader_is_followed() {
+    let mut ingress = Ingress::new();
+    ingress.owner(1_000);
+    let group = GroupId::of("katalog", 0);
+    let hint = Some((addr(2), Epoch(2)));
+    let not = NotLeader { group, hint };
+    ingress.take(1, &Control::NotLeader(not), 1_001);
+    assert_eq!(ingress.asked, vec![addr(1), addr(2)]);
+    assert_eq!(ingress.reads, 1);
+}
+
+/// Guards against acting on half of a map.
+#[test]
+fn map_in_parts_counts_when_complete() {
+    let mut ingress = Ingress::new();
+    ingress.owner(1_000);
+    let whole = map(1, 1, 9);
+    let second = GroupMap { part: 1, parts: 2, ..whole.clone() };
+    let second = GroupMap { members: Vec::new(), ..second };
+    let first = GroupMap { part: 0, parts: 2, ..whole };
+    let first = GroupMap { owners: Vec::new(), ..first };
+    ingress.take(1, &Control::Map(second), 1_001);
+    assert_eq!(ingress.owner(1_002), Lookup::Wait);
+    ingress.take(1, &Control::Map(first), 1_003);
+    assert_eq!(ingress.owner(1_004), Lookup::Owner(addr(9)));
+}
