--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -658,13 +658,11 @@
     ) {
         let me = self.seat.addr;
         let Some(place) = &mut self.place else { return };
-        if place.seen.0 == Epoch(0) {
-            // An earlier process at this address may have taken over, which
-            // only the record tells. A promise would revive the old leader.
+        let taking = place.book.taking(me);
+        let informed = place.seen.0 > Epoch(0);
+        if !informed {
             place.book.doubt();
-            return;
         }
-        let taking = place.book.taking(me);
         let leads = self.leader.as_ref().is_some_and(|l| l.epoch >= ask.epoch);
         let known = self.member.epoch.max(place.seen.0);
         if leads && ask.epoch >= known {
@@ -674,7 +672,7 @@
             place.book.doubt();
             return;
         }
-        let answer = self.standby.ask(ask, known, taking, now);
+        let answer = self.standby.ask(ask, known, informed, taking, now);
         let Some(promise) = answer else { return };
         if promise.refused.is_none() {
             self.member.learn(from, ask.epoch, now);
