--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -49,7 +49,7 @@
 
 /// Time for a peer that was given up before to show life on a new
 /// connection.
-const GREET_LIMIT: Duration = Duration::from_millis(500);
+const GREET_LIMIT: Duration = Duration::from_millis(250);
 
 /// Time after which a connection without requests is closed.
 const IDLE_LIMIT: Duration = Duration::from_mins(1);
