Move the shards of a node whose upstream is lost

Cause: a node that lost only its upstream kept its shards, so requests for their keys ended in 504 until the upstream returned. A heartbeat now says after 300 ms that the upstream cannot be reached, and the leader moves the shards as for a leaving member, until the upstream is back. The node stays fit to lead and to stand by.

Ruled out: treating the node as leaving, which would also replace it as a standby.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -77,6 +77,8 @@
     pub config: u64,
     /// The member wants to give up all its shards.
     pub leaving: bool,
+    /// The member's upstream cannot be reached: its shards should move.
+    pub down: bool,
     /// Sent until the leader has confirmed it.
     pub detail: Option<Box<Detail>>,
     /// Keys that carry an outstanding part of the member's work.
--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -75,6 +75,8 @@
     pub busy: u16,
     /// The concurrency limit.
     pub limit: u16,
+    /// The upstream has not been reachable for a while.
+    pub down: bool,
     /// Requests at the upstream by shard; absent shards have none.
     pub shards: BTreeMap<Shard, u32>,
     /// The heaviest keys of the last interval.
--- a/crates/core/src/group/leader.rs
+++ b/crates/core/src/group/leader.rs
@@ -65,6 +65,8 @@
     acked: u32,
     pushed: u32,
     leaving: bool,
+    /// Its upstream cannot be reached.
+    down: bool,
     /// Since when its domain has been out of service.
     out: Option<Millis>,
 }
@@ -78,7 +80,7 @@
     }
 
     fn draining(&self) -> bool {
-        self.leaving || self.out.is_some()
+        self.leaving || self.down || self.out.is_some()
     }
 
     fn quiet(&self, now: Millis) -> bool {
@@ -249,14 +251,19 @@
         peer.sent = beat.sent;
         peer.heard = now;
         peer.note_load(beat.busy, beat.limit);
-        self.dirty |= beat.leaving && !peer.leaving;
+        let drained = peer.draining();
         peer.leaving |= beat.leaving;
+        peer.down = beat.down;
+        let changed = drained != peer.draining();
         if beat.lease > 0 || early || now >= authority || from == self.addr {
             peer.confirmed = now;
         }
         if beat.plan.epoch == self.epoch {
             peer.acked = peer.acked.max(beat.plan.sequence);
         }
+        if changed {
+            self.touch(from);
+        }
         self.heat.report(from, &beat.hot, now);
         self.note_suspects(from, beat, now, out);
         self.release(from, beat);
@@ -360,6 +367,7 @@
             acked: 0,
             pushed: 0,
             leaving: false,
+            down: false,
             out: None,
         }
     }
--- a/crates/core/src/group/member.rs
+++ b/crates/core/src/group/member.rs
@@ -57,7 +57,9 @@
     heard: Millis,
     next: Millis,
     mixed: Vec<Mixed>,
-    reported: usize,
+    /// Number of released shards in the last report, and whether it said
+    /// that the upstream cannot be reached.
+    reported: (usize, bool),
     /// Where the next heartbeat goes on in the list of hot keys.
     turn: usize,
     parts: Parts<Fence, Plan>,
@@ -82,7 +84,7 @@
             heard: now,
             next: now,
             mixed: Vec::new(),
-            reported: 0,
+            reported: (0, false),
             turn: 0,
             parts: Parts::new(),
         }
@@ -190,8 +192,9 @@
     pub(crate) fn due(&mut self, load: &Load, now: Millis) -> bool {
         self.settle_mixed(load, now);
         let released = self.released(load).len();
-        let news = released > self.reported;
-        self.reported = released;
+        let (before, down) = self.reported;
+        let news = released > before || load.down != down;
+        self.reported = (released, load.down);
         news || now >= self.next
     }
 
@@ -244,6 +247,7 @@
             limit: load.limit,
             config: self.config,
             leaving,
+            down: load.down,
             detail: (!self.known).then(|| self.detail(seat, load).into()),
             hot: self.hot(load),
             suspects: last(&load.suspects, beat::SUSPECTS).to_vec(),
@@ -364,7 +368,7 @@
             }
         }
         self.revoked = plan.revoked.iter().copied().collect();
-        self.reported = 0;
+        self.reported.0 = 0;
         self.standbys.clone_from(&plan.standbys);
         self.poison.clone_from(&plan.poison);
         self.drain = plan.drain;
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -32,6 +32,10 @@
 pub mod retry;
 pub mod share;
 
+/// Time for which an upstream may be unreachable before its shards move, in
+/// milliseconds. A connection that fails for a moment moves nothing.
+const DOWN_DELAY: u64 = 300;
+
 /// Permission to serve, as the request path sees it.
 pub trait Ownership: Debug {
     /// Permission to serve a key now; see [`Group::grant`].
@@ -183,6 +187,8 @@
     running: Vec<usize>,
     /// The upstream is reachable.
     up: bool,
+    /// When it was last found to be unreachable.
+    down_since: Millis,
     suspects: poison::Suspects,
     heavy: heavy::Heavy,
     retries: retry::Budget,
@@ -211,6 +217,7 @@
             local,
             running: Vec::new(),
             up: true,
+            down_since: now,
             suspects: poison::Suspects::new(),
             heavy: heavy::Heavy::new(now),
             retries: retry::Budget::new(
@@ -289,6 +296,7 @@
             return;
         }
         self.up = false;
+        self.down_since = now;
         self.suspect(now);
         self.limit.crashed(now);
         self.empty_queue(now, out);
@@ -327,6 +335,7 @@
         let mut load = Load {
             busy: self.running.len() as u16,
             limit: self.limit.value() as u16,
+            down: !self.up && now.since(self.down_since) >= DOWN_DELAY,
             hot: self.heavy.hot().to_vec(),
             suspects: self.suspects.report(now),
             ..Load::default()
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -688,3 +688,21 @@
     sim.run(4_000);
     assert!(sim.all_served());
 }
+
+/// Guards against keys that stay with a node whose upstream is lost.
+#[test]
+fn lost_upstream_moves_its_shards_and_gets_them_back() {
+    let mut sim = settled(6, 90);
+    let node = sim.plain();
+    let held: Vec<KeyHash> = sim.keys.clone();
+    let held =
+        held.into_iter().filter(|&k| sim.holders(k)[0].0 == node).count();
+    assert_eq!(held, 4);
+    sim.set_down(node, true);
+    sim.run(2_000);
+    assert_eq!(sim.spread()[node], 0);
+    assert!(sim.all_served());
+    sim.set_down(node, false);
+    let sim = recovered(sim, 100);
+    assert_eq!(sim.spread(), vec![4; 6]);
+}
--- a/crates/core/tests/requests/flow.rs
+++ b/crates/core/tests/requests/flow.rs
@@ -356,6 +356,21 @@
     assert_eq!(bed.requests.len(), 2);
 }
 
+/// Guards against shards that move for a moment's failure, or that stay with
+/// a node whose upstream is lost.
+#[test]
+fn an_upstream_is_reported_as_down_after_a_while() {
+    let mut bed = Bed::warm();
+    let down = |bed: &Bed| bed.requests.load(Millis(bed.now)).down;
+    bed.with(|r, _, now, out| r.upstream_down(now, out));
+    for (span, expected) in [(0, false), (299, false), (1, true), (60, true)] {
+        bed.tick_after(span);
+        assert_eq!(down(&bed), expected, "after {span} ms more");
+    }
+    bed.with(|r, _, now, out| r.upstream_up(now, out));
+    assert!(!down(&bed));
+}
+
 /// The limit alone would go on to lose one request after the other.
 #[test]
 fn an_upstream_that_loses_all_requests_gets_only_probes() {
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -409,6 +409,11 @@
         self.hosts[node].group.as_ref().is_some_and(Group::leads)
     }
 
+    /// Loses or restores the upstream beside a node.
+    pub fn set_down(&mut self, node: usize, down: bool) {
+        self.hosts[node].load.down = down;
+    }
+
     /// Forgets the longest gap measured so far.
     pub fn reset_gap(&mut self) {
         self.gap = 0;
