--- a/crates/core/src/group/leader.rs
+++ b/crates/core/src/group/leader.rs
@@ -70,11 +70,14 @@
 }
 
 impl Peer {
-    fn note_load(&mut self, busy: u16, limit: u16) {
-        self.busy = busy;
-        self.limit = limit;
-        let now = u32::from(busy) * 1_000 / u32::from(limit).max(1);
-        self.load = (3 * self.load + now) / 4;
+    fn note(&mut self, beat: &Heartbeat, now: Millis) {
+        self.sent = beat.sent;
+        self.heard = now;
+        self.leaving |= beat.leaving;
+        self.busy = beat.busy;
+        self.limit = beat.limit;
+        let load = u32::from(beat.busy) * 1_000 / u32::from(beat.limit).max(1);
+        self.load = (3 * self.load + load) / 4;
     }
 
     fn draining(&self) -> bool {
@@ -247,11 +250,8 @@
             // Overtaken by a later report.
             return Vec::new();
         }
-        peer.sent = beat.sent;
-        peer.heard = now;
-        peer.note_load(beat.busy, beat.limit);
         self.dirty |= beat.leaving && !peer.leaving;
-        peer.leaving |= beat.leaving;
+        peer.note(beat, now);
         if beat.lease > 0 || early || now >= authority || from == self.addr {
             peer.confirmed = now;
         }
--- a/crates/core/src/group/member.rs
+++ b/crates/core/src/group/member.rs
@@ -320,13 +320,7 @@
             return false;
         }
         if let Some(part) = &lease.plan {
-            let sequence = part.version;
-            let version = Fence { epoch: lease.epoch, sequence };
-            let number = (part.part, part.parts);
-            let parts = self.parts.add(version, number, part.clone());
-            if let Some(plan) = parts.map(join_plan) {
-                self.adopt(version, &plan, spec_shards, now);
-            }
+            self.take_part(lease.epoch, part, spec_shards, now);
         }
         let current = renews(self.plan, lease.epoch, lease.version);
         let until = lease_end(lease.echo, u64::from(lease.term));
@@ -338,6 +332,22 @@
         true
     }
 
+    /// Takes one part of a plan, and acts on the plan once it is complete.
+    fn take_part(
+        &mut self,
+        epoch: Epoch,
+        part: &Plan,
+        spec_shards: u16,
+        now: Millis,
+    ) {
+        let version = Fence { epoch, sequence: part.version };
+        let number = (part.part, part.parts);
+        let parts = self.parts.add(version, number, part.clone());
+        if let Some(plan) = parts.map(join_plan) {
+            self.adopt(version, &plan, spec_shards, now);
+        }
+    }
+
     /// Acts on a newer plan from now on.
     fn adopt(
         &mut self,
