--- a/crates/core/src/group/leader.rs
+++ b/crates/core/src/group/leader.rs
@@ -72,11 +72,15 @@
 }
 
 impl Peer {
-    fn note_load(&mut self, busy: u16, limit: u16) {
-        self.busy = busy;
-        self.limit = limit;
-        let now = u32::from(busy) * 1_000 / u32::from(limit).max(1);
-        self.load = (3 * self.load + now) / 4;
+    fn note(&mut self, beat: &Heartbeat, now: Millis) {
+        self.sent = beat.sent;
+        self.heard = now;
+        self.leaving |= beat.leaving;
+        self.down = beat.down;
+        self.busy = beat.busy;
+        self.limit = beat.limit;
+        let load = u32::from(beat.busy) * 1_000 / u32::from(beat.limit).max(1);
+        self.load = (3 * self.load + load) / 4;
     }
 
     fn draining(&self) -> bool {
@@ -221,8 +225,9 @@
 
     /// Whether any lease may still be valid, apart from the leader's own.
     pub(crate) fn has_leases(&self, now: Millis) -> bool {
-        let mut peers = self.peers.iter();
-        peers.any(|(n, p)| *n != self.addr && now < p.latest)
+        let others = self.peers.iter().filter(|(n, _)| **n != self.addr);
+        let latest = others.map(|(_, p)| p.latest);
+        !rules::may_vacate(latest, self.orphan, now)
     }
 
     /// Takes a member's report and answers it. A plan that exceeds one
@@ -248,12 +253,8 @@
             // Overtaken by a later report.
             return Vec::new();
         }
-        peer.sent = beat.sent;
-        peer.heard = now;
-        peer.note_load(beat.busy, beat.limit);
         let drained = peer.draining();
-        peer.leaving |= beat.leaving;
-        peer.down = beat.down;
+        peer.note(beat, now);
         let changed = drained != peer.draining();
         if beat.lease > 0 || early || now >= authority || from == self.addr {
             peer.confirmed = now;
