Ignore the result of a probe that a later probe has overtaken

A connection made just before a crash could report the upstream as up after a later probe had found it down.

--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -61,6 +61,10 @@
     pub(crate) grants: Grants,
     report: RefCell<Option<Report>>,
     up: Cell<Option<bool>>,
+    /// Probes so far; numbers the next one.
+    probes: Cell<u64>,
+    /// The latest probe that has ended.
+    ended: Cell<u64>,
     held: RefCell<Option<(Conn, Millis)>>,
 }
 
@@ -86,6 +90,8 @@
             grants: Grants::new(settings.addr),
             report: RefCell::default(),
             up: Cell::new(None),
+            probes: Cell::new(0),
+            ended: Cell::new(0),
             held: RefCell::default(),
         };
         Self { inner: Rc::new(inner) }
@@ -229,8 +235,17 @@
 
     /// Connects once and reports a change.
     async fn probe(&self) {
+        let number = self.probes.get() + 1;
+        self.probes.set(number);
         let connect = TcpStream::connect_addr(self.addr);
-        match timeout(CONNECT_LIMIT, connect).await {
+        let result = timeout(CONNECT_LIMIT, connect).await;
+        // A probe that began before one that has ended says nothing new: a
+        // connection made just before a crash would hide the crash.
+        if number < self.ended.get() {
+            return;
+        }
+        self.ended.set(number);
+        match result {
             Ok(Ok(stream)) => self.reached(Conn::new(stream)).await,
             Ok(Err(_)) => {
                 self.held.borrow_mut().take();
--- a/crates/node/tests/contract/upstream.rs
+++ b/crates/node/tests/contract/upstream.rs
@@ -201,6 +201,11 @@
             };
             sink.borrow_mut().push(name);
         }));
+        // The first probe may otherwise meet the crash already.
+        while events.borrow().is_empty() {
+            let pause = std::time::Duration::from_millis(1);
+            monoio::time::sleep(pause).await;
+        }
         let reply = dispatch(&upstream, None).await;
         assert_eq!(reply.expect_err("lost").reason, Reason::ConnectionLost);
         events.borrow_mut().push("lost");
