--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -670,3 +670,39 @@
     assert!(sim.all_served());
     assert!(sim.gap <= TARGET, "gap of {} ms", sim.gap);
 }
+
+#[test]
+fn restarted_leader_does_not_restore_the_one_that_it_replaced() {
+    let mut sim = settled(2, 44);
+    let old = sim.leader().unwrap();
+    sim.barred.insert(old);
+    sim.isolate(old, true);
+    sim.run(4_000);
+    assert_eq!(sim.record(0).unwrap().leader, addr(1 - old));
+    sim.barred.extend([0, 1]);
+    sim.restart(1 - old);
+    sim.isolate(old, false);
+    sim.run(4_000);
+    assert_eq!(sim.spread(), vec![0, 0]);
+    sim.barred.clear();
+    sim.run(4_000);
+    assert!(sim.all_served());
+}
+
+/// Guards against keys that stay with a node whose upstream is lost.
+#[test]
+fn lost_upstream_moves_its_shards_and_gets_them_back() {
+    let mut sim = settled(6, 90);
+    let node = sim.plain();
+    let held: Vec<KeyHash> = sim.keys.clone();
+    let held =
+        held.into_iter().filter(|&k| sim.holders(k)[0].0 == node).count();
+    assert_eq!(held, 4);
+    sim.set_down(node, true);
+    sim.run(2_000);
+    assert_eq!(sim.spread()[node], 0);
+    assert!(sim.all_served());
+    sim.set_down(node, false);
+    let sim = recovered(sim, 100);
+    assert_eq!(sim.spread(), vec![4; 6]);
+}
