--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -271,13 +271,7 @@
     if !path.bytes().all(|byte| byte.is_ascii_graphic()) {
         return Err(bad("the path is not ASCII"));
     }
-    let budget = match text(&headers, &DEADLINE)? {
-        None => DEADLINE_DEFAULT,
-        Some(text) => match text.parse() {
-            Ok(ms) if ms <= DEADLINE_MAX => ms,
-            _ => return Err(bad("Lagoondyke-Deadline is not 0 to 60000")),
-        },
-    };
+    let budget = budget(&headers)?;
     let key = headers.get(&KEY).map(|key| KeyHash::of(key.as_bytes()));
     let token = text(&headers, &TOKEN)?;
     let scope = text(&headers, &SCOPE)?;
@@ -303,6 +297,18 @@
     })
 }
 
+/// Milliseconds left until the deadline that the caller names.
+fn budget(headers: &HeaderMap) -> Result<u64, Rejected> {
+    let Some(text) = text(headers, &DEADLINE)? else {
+        return Ok(DEADLINE_DEFAULT);
+    };
+    let budget = text.parse().ok().filter(|&ms| ms <= DEADLINE_MAX);
+    budget.ok_or_else(|| Rejected {
+        status: StatusCode::BAD_REQUEST,
+        detail: format!("Lagoondyke-Deadline is not 0 to {DEADLINE_MAX}"),
+    })
+}
+
 fn text(
     headers: &HeaderMap,
     name: &HeaderName,
