--- a/crates/bench/src/experiments/basic.rs
+++ b/crates/bench/src/experiments/basic.rs
@@ -41,6 +41,7 @@
     let load = Load { targets: cluster.nodes(), ..load };
     let before = cluster.counts()?;
     let samples = load.run()?;
+    cluster.keep_samples(&samples)?;
     let after = cluster.counts()?;
     let base = direct(&cluster, &load, Pick::Random);
     let base_samples = base.run()?;
--- a/crates/bench/src/experiments/strain.rs
+++ b/crates/bench/src/experiments/strain.rs
@@ -36,6 +36,7 @@
     let disturb =
         |cluster: &Cluster| cluster.admin(1, "/admin/stall", slow.clone());
     let samples = disturbed(&cluster, &load, &disturb)?;
+    cluster.keep_samples(&samples)?;
     let base = direct(&cluster, &load, Pick::RoundRobin);
     let base_samples = disturbed(&cluster, &base, &disturb)?;
     let records = cluster.records()?;
@@ -58,6 +59,7 @@
     let disturb = |cluster: &Cluster| cluster.admin(1, "/admin/cold", "");
     let before = refusals(&cluster)?;
     let samples = disturbed(&cluster, &load, &disturb)?;
+    cluster.keep_samples(&samples)?;
     let between = refusals(&cluster)?;
     std::thread::sleep(std::time::Duration::from_secs(4));
     let again = refusals(&cluster)?;
@@ -110,6 +112,7 @@
     let cluster = Cluster::start(plan, &context.place)?;
     let load = Load { targets: cluster.nodes(), ..load };
     let samples = load.run()?;
+    cluster.keep_samples(&samples)?;
     let base = direct(&cluster, &load, Pick::Random);
     let base_samples = base.run()?;
     let records = cluster.records()?;
