Model check that a vacant group has no leases

The rule that a leader declares a group vacant only after the leases of the leader that it replaced is broken on purpose and found.

--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -50,6 +50,7 @@
     AcceptOldClaim,
     LeadBeforeAnswer,
     KeepEpoch,
+    VacateBeforeOrphans,
     RenewLapsedPlan,
     PromiseWithoutReading,
 }
@@ -64,6 +65,8 @@
     Standbys,
     /// Leaves.
     Cedes,
+    /// After a takeover, the new leader leaves for good.
+    Vacates,
     /// Leaves while a former holder's claim is on its way.
     CedesLate,
 }
@@ -102,7 +105,7 @@
     epoch: u8,
     leader: u8,
     standby: bool,
-    ceded: bool,
+    tenure: Tenure,
     writer: u8,
 }
 
@@ -237,7 +240,7 @@
             leader: addr(self.leader),
             standbys: if self.standby { vec![other] } else { vec![] },
             writer: self.writer.into(),
-            tenure: if self.ceded { Tenure::Ceded } else { Tenure::Led },
+            tenure: self.tenure,
         }
     }
 
@@ -246,7 +249,7 @@
             epoch: record.epoch.0 as u8,
             leader: u8::from(record.leader == addr(1)),
             standby: !record.standbys.is_empty(),
-            ceded: record.tenure == Tenure::Ceded,
+            tenure: record.tenure,
             writer: record.writer as u8,
         }
     }
@@ -314,7 +317,7 @@
             epoch: 1,
             leader: 0,
             standby: bounds.standby,
-            ceded: false,
+            tenure: Tenure::Led,
             writer: 0,
         };
         let lead = Lead {
@@ -540,6 +543,9 @@
         if bounds.leader == Acts::Standbys {
             add(&|s| s.change_standby(me, bounds));
         }
+        if bounds.leader == Acts::Vacates && me == 1 {
+            add(&|s| s.vacate(me, bounds));
+        }
         if matches!(bounds.leader, Acts::Cedes | Acts::CedesLate) {
             add(&|s| s.cede(me, bounds));
         }
@@ -548,7 +554,9 @@
     /// Forgets what no decision depends on any more.
     fn prune(&mut self) {
         for (me, node) in (0..).zip(&mut self.nodes) {
-            let named = node.rec.is_some_and(|r| r.ceded || r.leader == me);
+            let named = node
+                .rec
+                .is_some_and(|r| r.tenure != Tenure::Led || r.leader == me);
             if node.lead.is_some() || !named {
                 node.seen = 0;
             }
@@ -856,7 +864,10 @@
     fn change_standby(&mut self, me: u8, bounds: &Bounds) {
         let node = &self.nodes[usize::from(me)];
         let (Some(rec), Some(lead)) = (node.rec, node.lead) else { return };
-        if rec.leader != me || rec.epoch != lead.epoch || rec.ceded {
+        if rec.leader != me
+            || rec.epoch != lead.epoch
+            || rec.tenure != Tenure::Led
+        {
             return;
         }
         let ready =
@@ -871,12 +882,29 @@
         let node = &self.nodes[usize::from(me)];
         let (Some(rec), Some(lead)) = (node.rec, node.lead) else { return };
         if rec.leader == me && rec.epoch == lead.epoch && rec.standby {
-            let next =
-                Rec { leader: 1 - me, standby: false, ceded: true, ..rec };
+            let next = Rec {
+                leader: 1 - me,
+                standby: false,
+                tenure: Tenure::Ceded,
+                ..rec
+            };
             self.write(me, next, bounds);
         }
     }
 
+    /// A leaving leader that has no heir gives the group up.
+    fn vacate(&mut self, me: u8, bounds: &Bounds) {
+        let node = &self.nodes[usize::from(me)];
+        let (Some(rec), Some(lead)) = (node.rec, node.lead) else { return };
+        let early = bounds.fault == Fault::VacateBeforeOrphans;
+        let orphan = if early { NOW } else { at(lead.orphan) };
+        let may = rules::may_vacate(lead.latest.map(at), orphan, NOW);
+        if rec.leader == me && rec.epoch == lead.epoch && may {
+            let tenure = Tenure::Vacant;
+            self.write(me, Rec { standby: false, tenure, ..rec }, bounds);
+        }
+    }
+
     /// The writer no longer waits for the answer.
     fn give_up(&mut self, i: usize, fault: Fault) {
         let write = &mut self.writes[i];
@@ -908,9 +936,11 @@
             let leader = &mut self.leaders[usize::from(rec.epoch)];
             if rec.epoch < old {
                 self.broken = Some("the epoch went back");
-            } else if !rec.ceded && leader.is_some_and(|l| l != rec.leader) {
+            } else if rec.tenure == Tenure::Led
+                && leader.is_some_and(|l| l != rec.leader)
+            {
                 self.broken = Some("an epoch has two leaders");
-            } else if !rec.ceded {
+            } else if rec.tenure == Tenure::Led {
                 *leader = Some(rec.leader);
             }
         }
@@ -938,9 +968,9 @@
         if node.calling {
             return;
         }
-        let before = node.rec.map(|r| (r.epoch, r.ceded));
+        let before = node.rec.map(|r| (r.epoch, r.tenure));
         node.known(|k| k.became(version.into(), rec.full()));
-        if before.is_some_and(|b| b != (rec.epoch, rec.ceded)) {
+        if before.is_some_and(|b| b != (rec.epoch, rec.tenure)) {
             node.seen = 0;
         }
         self.settle(me);
@@ -951,7 +981,7 @@
         let node = &mut self.nodes[usize::from(me)];
         let Some(rec) = node.rec else { return };
         node.epoch = node.epoch.max(rec.epoch);
-        let led = rec.leader == me && !rec.ceded;
+        let led = rec.leader == me && rec.tenure == Tenure::Led;
         if node.lead.is_some_and(|l| l.epoch != rec.epoch || !led) {
             node.lead = None;
         }
@@ -1034,6 +1064,9 @@
 
 const CEDE: Bounds = Bounds { leader: Acts::Cedes, step: 900, ..WRITES };
 
+/// A takeover, after which the new leader leaves and the old one returns.
+const VACATE: Bounds = Bounds { leader: Acts::Vacates, writes: 3, ..WRITES };
+
 /// Asserts that no state within the bounds violates a property.
 fn sound(bounds: &Bounds) {
     let (states, path) = explore(bounds);
@@ -1085,6 +1118,11 @@
     sound(&CEDE);
 }
 
+#[test]
+fn vacant_group_never_has_two_owners() {
+    sound(&VACATE);
+}
+
 /// Asserts that the checker finds the fault.
 fn found(fault: Fault, bounds: Bounds) {
     let (states, path) = explore(&Bounds { fault, ..bounds });
@@ -1139,5 +1177,6 @@
 #[test]
 fn broken_rules_of_leaving_are_found() {
     found(Fault::GrantOrphansAtOnce, CEDE);
+    found(Fault::VacateBeforeOrphans, VACATE);
     found(Fault::AcceptOldClaim, Bounds { leader: Acts::CedesLate, ..CEDE });
 }
