--- a/crates/core/src/group/leader.rs
+++ b/crates/core/src/group/leader.rs
@@ -65,6 +65,8 @@
     acked: u32,
     pushed: u32,
     leaving: bool,
+    /// Its upstream cannot be reached.
+    down: bool,
     /// Since when its domain has been out of service.
     out: Option<Millis>,
 }
@@ -74,6 +76,7 @@
         self.sent = beat.sent;
         self.heard = now;
         self.leaving |= beat.leaving;
+        self.down = beat.down;
         self.busy = beat.busy;
         self.limit = beat.limit;
         let load = u32::from(beat.busy) * 1_000 / u32::from(beat.limit).max(1);
@@ -81,7 +84,7 @@
     }
 
     fn draining(&self) -> bool {
-        self.leaving || self.out.is_some()
+        self.leaving || self.down || self.out.is_some()
     }
 
     fn quiet(&self, now: Millis) -> bool {
@@ -250,14 +253,18 @@
             // Overtaken by a later report.
             return Vec::new();
         }
-        self.dirty |= beat.leaving && !peer.leaving;
+        let drained = peer.draining();
         peer.note(beat, now);
+        let changed = drained != peer.draining();
         if beat.lease > 0 || early || now >= authority || from == self.addr {
             peer.confirmed = now;
         }
         if beat.plan.epoch == self.epoch {
             peer.acked = peer.acked.max(beat.plan.sequence);
         }
+        if changed {
+            self.touch(from);
+        }
         self.heat.report(from, &beat.hot, now);
         self.note_suspects(from, beat, now, out);
         self.release(from, beat);
@@ -361,6 +368,7 @@
             acked: 0,
             pushed: 0,
             leaving: false,
+            down: false,
             out: None,
         }
     }
