--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -42,8 +42,8 @@
 const LOOKS_PING: u32 = 2;
 
 /// Looks in a row without a frame after which the connection is given up.
-/// The time, 1,500 ms, is the term of a lease: a process that was frozen
-/// for so long has lost its shards. Looks are counted rather than time, so
+/// After that time, 1,500 ms, a frozen process has missed three heartbeats
+/// and is about to lose its lease. Looks are counted rather than time, so
 /// that a process that was frozen itself hears its peers before it judges.
 const LOOKS_DEAD: u32 = 6;
 
