Record the end of runs that a crash cuts off

The stand-in now records the end itself when it crashes. The check for two owners is unchanged; the new test failed first. Ruled out: a second owner, since the process of the earlier run had ended.

--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -540,6 +540,23 @@
         }
     }
 
+    /// Records that all runs in progress end now.
+    fn record_crash(&self) {
+        let end = monotonic_ms();
+        let runs = self.runs.borrow();
+        for (index, run) in runs.runs.iter().enumerate() {
+            if run.end.is_some() {
+                continue;
+            }
+            self.write_record(|| Line::End {
+                process: std::process::id(),
+                number: runs.dropped + index as u64,
+                end,
+                outcome: Outcome::Cancelled,
+            });
+        }
+    }
+
     fn begin(&self, call: &Call) -> RunGuard<'_> {
         let text = |name| call.header(name).unwrap_or("").to_owned();
         let run = Run {
@@ -610,6 +627,7 @@
         if let Some(mark) = call.header("x-crash")
             && self.options.crash_on.as_deref() == Some(mark)
         {
+            self.record_crash();
             std::process::exit(70);
         }
         let reply = match number::<u64>(call.header("lagoondyke-deadline")) {
--- a/crates/standin/tests/upstream.rs
+++ b/crates/standin/tests/upstream.rs
@@ -253,6 +253,40 @@
     assert_eq!(seen, expected);
 }
 
+/// Guards against runs that seem to go on after a crash: a checker would take
+/// the next owner's run of the key for a second owner.
+#[test]
+fn record_has_the_end_of_runs_that_a_crash_cuts_off() {
+    let path = Path::new(env!("CARGO_BIN_EXE_standin-upstream"));
+    let name = format!("standin-crash-{}", std::process::id());
+    let record = std::env::temp_dir().join(name);
+    let addr = free_addr().unwrap();
+    let file = record.to_str().unwrap();
+    let listen = addr.to_string();
+    let args = ["--listen", &listen, "--record", file, "--crash-on", "M"];
+    let limit = Duration::from_millis(LIMIT);
+    let _process = Process::start(path, args, addr, limit).unwrap();
+    run(async {
+        set(addr, "/admin/stall", format!(r#"{{"ms": {LIMIT}}}"#)).await;
+        let cut = [("x-request-id", "cut")];
+        let lost = monoio::spawn(async move {
+            call(addr, Method::GET, "/", &cut, "").await
+        });
+        while load(addr).await.busy == 0 {
+            sleep_ms(2).await;
+        }
+        let crash = [("x-crash", "M")];
+        let result = call(addr, Method::GET, "/", &crash, "").await;
+        assert!(matches!(result, Err(CallError::Lost(_))), "{result:?}");
+        assert!(matches!(lost.await, Err(CallError::Lost(_))));
+    });
+    let runs = upstream::read_record(&record).unwrap();
+    std::fs::remove_file(&record).unwrap();
+    let seen: Vec<_> = runs.iter().map(|r| (&*r.id, r.outcome)).collect();
+    assert_eq!(seen, [("cut", Outcome::Cancelled)]);
+    assert!(runs[0].end.is_some());
+}
+
 /// Guards against a program that crashes on other requests, or does not
 /// crash, and against a helper that leaves the program frozen.
 #[test]
