--- a/crates/core/src/group/leader.rs
+++ b/crates/core/src/group/leader.rs
@@ -24,7 +24,7 @@
 use crate::group::poison::Poison;
 use crate::group::rules;
 use crate::id::{
-    Epoch, Fence, GroupId, Incarnation, KeyHash, NodeAddr, Shard,
+    Epoch, Fence, GroupId, Incarnation, KeyHash, NodeAddr, Shard, domain_hash,
 };
 use crate::status::MemberStatus;
 
@@ -597,8 +597,3 @@
         all
     }
 }
-
-/// Hash of a failure domain's name, for maps.
-pub(crate) fn domain_hash(name: &str) -> u32 {
-    crate::id::KeyHash::of(name).0 as u32
-}
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -173,6 +173,11 @@
     }
 }
 
+/// Hash of a failure domain's name, as in `MapMember::domain`.
+pub(crate) fn domain_hash(name: &str) -> u32 {
+    KeyHash::of(name).0 as u32
+}
+
 /// A fencing token: never decreases for a shard.
 #[derive(
     Clone,
--- a/crates/core/src/request/forward.rs
+++ b/crates/core/src/request/forward.rs
@@ -6,7 +6,7 @@
 use crate::config::Service;
 use crate::effect::Effect;
 use crate::event::Outcome;
-use crate::id::{GroupId, Incarnation, NodeAddr, Ticket};
+use crate::id::{Incarnation, NodeAddr, Ticket, domain_hash};
 use crate::request::choose::{Roster, SlowTime};
 use crate::request::dedupe::End;
 use crate::request::flow::{Attempt, DEADLINE, Phase};
@@ -299,8 +299,3 @@
         }
     }
 }
-
-/// Hash of a failure domain's name as in `MapMember::domain`.
-fn domain_hash(name: &str) -> u32 {
-    GroupId::of(name, 0).service
-}
