--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -52,7 +52,7 @@
 /// Interval between a member's heartbeats, in milliseconds.
 pub const HEARTBEAT: u64 = 500;
 
-/// Term of a member's lease, in milliseconds. It spans two heartbeats and a
+/// Term of a member's lease, in milliseconds. It spans three heartbeats and a
 /// half, so that two lost datagrams in a row do not end a lease.
 pub const LEASE: u64 = 1_750;
 
--- a/crates/core/src/group/receive.rs
+++ b/crates/core/src/group/receive.rs
@@ -55,13 +55,13 @@
         }
     }
 
-    pub(super) fn doubt(&mut self) {
+    fn doubt(&mut self) {
         if let Some(place) = &mut self.place {
             place.book.doubt();
         }
     }
 
-    pub(super) fn heartbeat(
+    fn heartbeat(
         &mut self,
         from: NodeAddr,
         beat: &Heartbeat,
@@ -91,7 +91,7 @@
     }
 
     /// Names the leader that this node knows.
-    pub(super) fn redirect(&self, to: NodeAddr, out: &mut Vec<Effect>) {
+    fn redirect(&self, to: NodeAddr, out: &mut Vec<Effect>) {
         let Some(place) = &self.place else { return };
         let known = self.member.leader.filter(|&n| n != self.seat.addr);
         let hint = known.map(|n| (n, self.member.epoch));
@@ -99,7 +99,7 @@
         out.push(Effect::Send { to, message });
     }
 
-    pub(super) fn lease_arrived(
+    fn lease_arrived(
         &mut self,
         from: NodeAddr,
         lease: &Lease,
@@ -116,7 +116,7 @@
         self.take_lease(from, lease, spec, now, out);
     }
 
-    pub(super) fn asked(
+    fn asked(
         &mut self,
         from: NodeAddr,
         ask: &PromiseRequest,
@@ -148,12 +148,7 @@
         out.push(Effect::Send { to: from, message });
     }
 
-    pub(super) fn locate(
-        &mut self,
-        from: NodeAddr,
-        now: Millis,
-        out: &mut Vec<Effect>,
-    ) {
+    fn locate(&mut self, from: NodeAddr, now: Millis, out: &mut Vec<Effect>) {
         let Some(leader) = &self.leader else {
             self.redirect(from, out);
             return;
@@ -164,12 +159,7 @@
         }
     }
 
-    pub(super) fn not_leader(
-        &mut self,
-        from: NodeAddr,
-        not: &NotLeader,
-        now: Millis,
-    ) {
+    fn not_leader(&mut self, from: NodeAddr, not: &NotLeader, now: Millis) {
         let Some((leader, epoch)) = not.hint else {
             if self.member.leader == Some(from) {
                 self.member.search(now);
--- a/crates/core/src/group/succession.rs
+++ b/crates/core/src/group/succession.rs
@@ -8,7 +8,7 @@
 use crate::control::{Control, NotLeader};
 use crate::effect::{Effect, Notice};
 use crate::group::leader::Leader;
-use crate::group::{Group, READ_SOON, View, rules};
+use crate::group::{Group, Place, READ_SOON, View, rules};
 use crate::id::{Epoch, NodeAddr};
 use crate::record::{Record, Tenure};
 
@@ -117,12 +117,7 @@
     }
 
     /// Learns the leader from the record.
-    pub(super) fn learn(
-        &mut self,
-        record: &Record,
-        now: Millis,
-        out: &mut Vec<Effect>,
-    ) {
+    fn learn(&mut self, record: &Record, now: Millis, out: &mut Vec<Effect>) {
         if record.tenure != Tenure::Led {
             return;
         }
@@ -133,7 +128,7 @@
     }
 
     /// A leader reads its record: another one leads if it was replaced.
-    pub(super) fn check_record(
+    fn check_record(
         &mut self,
         record: &Record,
         now: Millis,
@@ -157,7 +152,7 @@
     }
 
     /// Tells the members and the next leader that this node leads no more.
-    pub(super) fn announce(&self, record: &Record, out: &mut Vec<Effect>) {
+    fn announce(&self, record: &Record, out: &mut Vec<Effect>) {
         let (Some(leader), Some(place)) = (&self.leader, &self.place) else {
             return;
         };
@@ -173,7 +168,7 @@
         }
     }
 
-    pub(super) fn step_down(&mut self, out: &mut Vec<Effect>) {
+    fn step_down(&mut self, out: &mut Vec<Effect>) {
         let Some(leader) = self.leader.take() else { return };
         let group = leader.id();
         let epoch = leader.epoch;
@@ -181,7 +176,7 @@
     }
 
     /// Takes the lead if the record allows it.
-    pub(super) fn claim(
+    fn claim(
         &mut self,
         record: &Record,
         view: View<'_>,
@@ -192,8 +187,7 @@
         let me = self.seat.addr;
         let led = record.tenure == Tenure::Led;
         if led && record.leader == me && place.book.own() {
-            let (fresh, orphan) = (place.fresh, place.orphan);
-            self.begin(record.epoch, fresh, orphan, view, now, out);
+            self.begin(record.epoch, view, now, out);
             return;
         }
         if self.left.is_some() || !self.may_claim(record, now) {
@@ -208,7 +202,7 @@
     }
 
     /// Whether this node may replace the leader in the record at `now`.
-    pub(super) fn may_claim(&self, record: &Record, now: Millis) -> bool {
+    fn may_claim(&self, record: &Record, now: Millis) -> bool {
         let Some(place) = &self.place else { return false };
         if record.tenure == Tenure::Led && now < place.grace {
             return false;
@@ -218,18 +212,16 @@
     }
 
     /// Starts to lead.
-    pub(super) fn begin(
+    fn begin(
         &mut self,
         epoch: Epoch,
-        fresh: bool,
-        orphan: Millis,
         view: View<'_>,
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
         let Some(place) = &self.place else { return };
         let me = self.seat.addr;
-        let id = place.id;
+        let Place { id, fresh, orphan, .. } = *place;
         self.leader = Some(Leader::new(me, id, epoch, fresh, orphan, now));
         self.member.learn(me, epoch, now);
         self.own_next = now;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -6,7 +6,7 @@
 //! [`crate::route`], and itself keeps the configuration in force.
 
 use crate::clock::Millis;
-use crate::config::Config;
+use crate::config::{Config, Service};
 use crate::control::Control;
 use crate::effect::{Effect, Notice, StoreOp};
 use crate::event::{Event, StoreOutcome};
@@ -138,8 +138,7 @@
     pub fn locate(&self, service: impl AsRef<str>, key: KeyHash) -> Located {
         let service = service.as_ref();
         let mut at = Located { config: self.version, ..Located::default() };
-        let services = self.config.as_ref().map(|c| &c.services);
-        let Some(spec) = services.and_then(|s| s.get(service)) else {
+        let Some(spec) = spec(self.config.as_ref(), service) else {
             return at;
         };
         (at.known, at.keyed, at.hash) = (true, spec.keyed, key);
@@ -159,8 +158,7 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        let services = self.config.as_ref().map(|c| &c.services);
-        let spec = services.and_then(|s| s.get(service));
+        let spec = spec(self.config.as_ref(), service);
         let Some(spec) = spec.filter(|s| s.keyed) else { return };
         self.routes.owner(service, spec, key, now, out);
     }
@@ -349,6 +347,10 @@
     format!("config/{}", operator.as_ref())
 }
 
+fn spec<'a>(config: Option<&'a Config>, service: &str) -> Option<&'a Service> {
+    config?.services.get(service)
+}
+
 fn group_view<'a>(
     config: Option<&'a Config>,
     blank: &'a Config,
