--- /dev/null
+++ b/crates/core/src/fleet/config.rs
@@ -0,0 +1,130 @@
+//! Routes and services of a fleet, as one versioned document.
+//!
+//! # Example
+//!
+//! ```
+//! use lagoondyke_core::fleet::config::{Config, Route};
+//!
+//! let mut config = Config { version: 3, ..Config::default() };
+//! let route = |prefix: &str| Route {
+//!     prefix: prefix.to_owned(),
+//!     ..Route::default()
+//! };
+//! let paths = vec![route("/a/"), route("/a/b/")];
+//! config.hosts.insert("h.example".to_owned(), paths);
+//! let found = config.route("h.example", "/a/b/c").unwrap();
+//! assert_eq!(found.prefix, "/a/b/");
+//! assert!(config.route("h.example", "/x").is_none());
+//! ```
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// All routes and services in force.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Version of the document; later documents have higher ones.
+    pub version: u64,
+    /// Services by name.
+    pub services: BTreeMap<String, Service>,
+    /// Routes by host name.
+    pub hosts: BTreeMap<String, Vec<Route>>,
+    /// What a caller may send.
+    pub limits: Limits,
+}
+
+/// A service.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Whether each key has one owner.
+    pub keyed: bool,
+    /// Connections that each upstream accepts.
+    pub connections: u32,
+    /// Requests that a cold upstream bears, per second; 0 if any number.
+    pub warmup_rate: f64,
+    /// Time for which an upstream is cold after its start, in milliseconds.
+    pub warmup_ms: u64,
+}
+
+/// A route: a path prefix of a host.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// Prefix of the paths that it takes.
+    pub prefix: String,
+    /// Where its requests go.
+    pub targets: Vec<Target>,
+    /// Its requests may safely run more than once.
+    pub idempotent: bool,
+    /// Longest time that a request is kept waiting, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time within which an answer has its full value, in milliseconds.
+    pub objective_ms: u64,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Most upstreams that one request may be sent to.
+    pub attempts: u8,
+}
+
+/// A weighted part of a route.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// The service.
+    pub service: String,
+    /// Its weight among the route's targets.
+    pub weight: f64,
+}
+
+/// What a caller may send.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// Time for a caller to send a head, in milliseconds.
+    pub head_ms: u64,
+    /// Time for which a connection may be idle, in milliseconds.
+    pub idle_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 * 1024,
+            body_bytes: 1024 * 1024,
+            head_ms: 3_000,
+            idle_ms: 15_000,
+        }
+    }
+}
+
+impl Config {
+    /// The route of a request: the longest prefix of the host's routes.
+    #[must_use]
+    pub fn route(
+        &self,
+        host: impl AsRef<str>,
+        path: impl AsRef<str>,
+    ) -> Option<&Route> {
+        let path = path.as_ref();
+        let path = path.split('?').next().unwrap_or(path);
+        let routes = self.hosts.get(host.as_ref())?;
+        let fits = routes.iter().filter(|r| path.starts_with(&r.prefix));
+        fits.max_by_key(|route| route.prefix.len())
+    }
+
+    /// Whether a service exists and is partitioned by key.
+    #[must_use]
+    pub fn is_keyed(&self, service: impl AsRef<str>) -> bool {
+        let service = self.services.get(service.as_ref());
+        service.is_some_and(|service| service.keyed)
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/settings.rs
@@ -0,0 +1,120 @@
+//! Settings of a node in a fleet.
+//!
+//! # Example
+//!
+//! ```
+//! use lagoondyke_core::fleet::settings::Settings;
+//!
+//! let error = Settings::parse("{ \"node\": \"n1\" }").unwrap_err();
+//! assert!(error.to_string().contains("required field is missing"));
+//! ```
+
+use std::net::{IpAddr, SocketAddr};
+
+use serde::{Deserialize, Serialize};
+
+use crate::jsonc::{self, Check, Fault, JsoncError, Rule};
+use crate::settings::{LogSettings, SETTINGS_MAX};
+
+/// Settings of one node.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The node's name, which it keeps when it restarts.
+    pub node: String,
+    /// Address of the VM.
+    pub ip: IpAddr,
+    /// The failure domain of the VM.
+    pub domain: String,
+    /// The service of the upstream.
+    pub service: String,
+    /// The upstream beside this node.
+    pub upstream: SocketAddr,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for requests of other nodes.
+    pub peers: SocketAddr,
+    /// Address for the question whether the node is ready.
+    pub health: SocketAddr,
+    /// Address for announcements of the upstream.
+    pub announcements: SocketAddr,
+    /// UDP port for gossip, the same on all nodes.
+    pub gossip: u16,
+    /// Port for metrics.
+    pub metrics: u16,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Bounds that the deployment sets.
+    pub bounds: Bounds,
+    /// Logging.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// Bounds that the deployment sets.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// Time between a stop signal and the end of the process, in
+    /// milliseconds.
+    pub stop_ms: u64,
+    /// Longest term that an upstream takes for a range, in milliseconds.
+    pub hold_ms: u64,
+    /// Repeats that all nodes may send beside a share of the requests.
+    pub retry_slack: u64,
+    /// Share of requests that may be repeated, 0 to 1.
+    pub retry_share: f64,
+}
+
+/// Checks of single fields.
+const RULES: &[Rule] = &[
+    Rule { path: &["node"], check: Check::Name },
+    Rule { path: &["gossip"], check: Check::Range(1, u16::MAX as u64) },
+    Rule { path: &["metrics"], check: Check::Range(1, u16::MAX as u64) },
+    Rule {
+        path: &["bounds", "stop_ms"],
+        check: Check::Range(1_000, 600_000),
+    },
+];
+
+impl Settings {
+    /// Parses and checks a settings file (JSON with comments).
+    ///
+    /// # Errors
+    ///
+    /// Returns the first thing that is wrong, with its place in the text.
+    pub fn parse(text: impl AsRef<[u8]>) -> Result<Self, JsoncError> {
+        let text = text.as_ref();
+        jsonc::parse_with(text, SETTINGS_MAX, RULES, Self::check)
+    }
+
+    fn check(&self) -> Result<(), Fault> {
+        let own = [
+            ("callers", self.callers),
+            ("peers", self.peers),
+            ("health", self.health),
+            ("announcements", self.announcements),
+        ];
+        for (place, (field, addr)) in own.iter().enumerate() {
+            if addr.port() == 0 {
+                return Err(Fault::new(&[field], "port must not be 0"));
+            }
+            let taken = own[..place].iter().find(|other| other.1 == *addr);
+            if let Some((other, _)) = taken {
+                let message = format!("must differ from {other}, {addr}");
+                return Err(Fault::new(&[field], message));
+            }
+        }
+        if own.iter().any(|(_, addr)| *addr == self.upstream) {
+            let message = "must differ from the node's own addresses";
+            return Err(Fault::new(&["upstream"], message));
+        }
+        Ok(())
+    }
+
+    /// Address for gossip.
+    #[must_use]
+    pub fn gossip_addr(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.gossip)
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/table.rs
@@ -0,0 +1,281 @@
+//! The table of a service's key ranges.
+//!
+//! Keys are the numbers 0 to 65,535. Ranges cover all of them without gaps
+//! and without overlap. A range belongs to one node, and to one life of the
+//! upstream beside it. It moves in two steps: its owner names the next node,
+//! lets the upstream release the range, and then hands it over.
+//!
+//! # Example
+//!
+//! ```
+//! use lagoondyke_core::fleet::table::{Share, Table};
+//!
+//! let share = |node: &str, slots| Share { node: node.to_owned(), slots };
+//! let table = Table::even(&[share("a", 1), share("b", 3)]);
+//! assert_eq!(table.at(16_383).node, "a");
+//! assert_eq!(table.at(16_384).node, "b");
+//! table.check().unwrap();
+//! ```
+
+use serde::{Deserialize, Serialize};
+
+/// The highest key.
+pub const KEY_MAX: u16 = u16::MAX;
+
+/// One life of an upstream: from its start to its end.
+#[derive(
+    Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize,
+)]
+#[serde(deny_unknown_fields)]
+pub struct Life {
+    /// The upstream's name, which a later life may use again.
+    pub id: String,
+    /// When it started, in milliseconds of the upstream's time of day.
+    pub born: u64,
+}
+
+/// A range of keys and its owner.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Range {
+    /// Lowest key.
+    pub first: u16,
+    /// Highest key.
+    pub last: u16,
+    /// Fencing token; higher than that of each earlier owner of a key.
+    pub fence: u64,
+    /// Node beside the owner.
+    pub node: String,
+    /// The owning life; none until the node has claimed the range.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub life: Option<Life>,
+    /// The node that gets the range once the owner has released it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub next: Option<String>,
+    /// Token with which the earlier owner released the range.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub handover: Option<String>,
+}
+
+/// A node and what it can take, for a first division of the keys.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Share {
+    /// The node.
+    pub node: String,
+    /// Requests that its upstream runs at once.
+    pub slots: u16,
+}
+
+/// All ranges of a service.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Table {
+    /// The highest fencing token given so far.
+    pub fence: u64,
+    /// Counts writes that only make delayed conditional updates fail.
+    pub touched: u64,
+    /// Ranges in the order of their keys.
+    pub ranges: Vec<Range>,
+}
+
+/// Why a table cannot be used.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TableError {
+    /// The keys from here on are missing or belong to two ranges.
+    Coverage {
+        /// The first such key.
+        key: u32,
+    },
+    /// A range has a higher token than the table.
+    Fence {
+        /// The first key of the range.
+        key: u16,
+    },
+}
+
+impl std::fmt::Display for TableError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Coverage { key } => {
+                write!(f, "key {key} does not lie in exactly one range")
+            }
+            Self::Fence { key } => {
+                write!(f, "the range at key {key} has a token above the last")
+            }
+        }
+    }
+}
+
+impl std::error::Error for TableError {}
+
+impl Range {
+    /// Whether the range has keys of `first..=last`.
+    #[must_use]
+    pub fn meets(&self, first: u16, last: u16) -> bool {
+        self.first <= last && first <= self.last
+    }
+}
+
+impl Table {
+    /// Divides all keys among nodes in proportion to their slots.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no node.
+    #[must_use]
+    pub fn even(shares: &[Share]) -> Self {
+        assert!(!shares.is_empty(), "keys need at least one node");
+        let weight = |share: &Share| u64::from(share.slots.max(1));
+        let total: u64 = shares.iter().map(weight).sum();
+        let keys = u64::from(KEY_MAX) + 1;
+        let mut ranges = Vec::new();
+        let (mut first, mut sum) = (0, 0);
+        for share in shares {
+            sum += weight(share);
+            let end = keys * sum / total;
+            if end == first {
+                continue;
+            }
+            ranges.push(Range {
+                first: first as u16,
+                last: (end - 1) as u16,
+                fence: 1,
+                node: share.node.clone(),
+                ..Range::default()
+            });
+            first = end;
+        }
+        Self { fence: 1, touched: 0, ranges }
+    }
+
+    /// Checks that each key lies in exactly one range.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault.
+    pub fn check(&self) -> Result<(), TableError> {
+        let mut next = 0;
+        for range in &self.ranges {
+            let fits = u32::from(range.first) == next;
+            if !fits || range.last < range.first {
+                return Err(TableError::Coverage { key: next });
+            }
+            if range.fence > self.fence {
+                return Err(TableError::Fence { key: range.first });
+            }
+            next = u32::from(range.last) + 1;
+        }
+        if next == u32::from(KEY_MAX) + 1 {
+            return Ok(());
+        }
+        Err(TableError::Coverage { key: next })
+    }
+
+    /// The range of a key.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the table does not pass [`Table::check`].
+    #[must_use]
+    pub fn at(&self, key: u16) -> &Range {
+        let after = self.ranges.partition_point(|range| range.first <= key);
+        &self.ranges[after - 1]
+    }
+
+    /// The ranges of a node.
+    pub fn of(&self, node: &str) -> impl Iterator<Item = &Range> {
+        self.ranges.iter().filter(move |range| range.node == node)
+    }
+
+    /// Splits ranges so that `first..=last` is made of whole ranges, and
+    /// returns those.
+    pub fn cut(&mut self, first: u16, last: u16) -> &mut [Range] {
+        self.split(first);
+        if last < KEY_MAX {
+            self.split(last + 1);
+        }
+        let begin = self.ranges.partition_point(|r| r.last < first);
+        let end = self.ranges.partition_point(|r| r.first <= last);
+        &mut self.ranges[begin..end]
+    }
+
+    fn split(&mut self, key: u16) {
+        let place = self.ranges.partition_point(|range| range.last < key);
+        let Some(range) = self.ranges.get_mut(place) else { return };
+        if range.first == key {
+            return;
+        }
+        let mut upper = range.clone();
+        range.last = key - 1;
+        upper.first = key;
+        self.ranges.insert(place + 1, upper);
+    }
+
+    /// Joins neighbours that differ only in their keys.
+    pub fn join(&mut self) {
+        let mut joined: Vec<Range> = Vec::with_capacity(self.ranges.len());
+        for range in self.ranges.drain(..) {
+            let Some(before) = joined.last_mut() else {
+                joined.push(range);
+                continue;
+            };
+            let like = Range {
+                first: before.first,
+                last: before.last,
+                ..range.clone()
+            };
+            if *before == like {
+                before.last = range.last;
+                continue;
+            }
+            joined.push(range);
+        }
+        self.ranges = joined;
+    }
+
+    /// The next fencing token.
+    pub fn raise(&mut self) -> u64 {
+        self.fence += 1;
+        self.fence
+    }
+
+    /// Gives a node's ranges to the present life of its upstream. Ranges of
+    /// an earlier life get a new token.
+    pub fn claim(&mut self, node: &str, life: &Life) {
+        let fence = self.fence + 1;
+        let mut raised = false;
+        for range in &mut self.ranges {
+            if range.node != node || range.life.as_ref() == Some(life) {
+                continue;
+            }
+            if range.life.is_some() {
+                range.fence = fence;
+                range.handover = None;
+                raised = true;
+            }
+            range.life = Some(life.clone());
+        }
+        if raised {
+            self.fence = fence;
+        }
+    }
+
+    /// Gives the keys `first..=last` to `node`, whose upstream is in `life`
+    /// if that is known.
+    pub fn give(
+        &mut self,
+        (first, last): (u16, u16),
+        node: &str,
+        life: Option<&Life>,
+        handover: Option<&str>,
+    ) {
+        let fence = self.raise();
+        for range in self.cut(first, last) {
+            range.fence = fence;
+            node.clone_into(&mut range.node);
+            range.life = life.cloned();
+            range.next = None;
+            range.handover = handover.map(str::to_owned);
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod control;
 pub mod effect;
 pub mod event;
+pub mod fleet;
 pub mod group;
 pub mod id;
 pub mod jsonc;
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -90,6 +90,8 @@
     Poisoned,
     /// The caller went away.
     Cancelled,
+    /// The upstream itself refused the request without running it.
+    Shed,
 }
 
 impl Reason {
@@ -150,6 +152,7 @@
             Self::AlreadyRan => "already-ran",
             Self::Poisoned => "poisoned",
             Self::Cancelled => "cancelled",
+            Self::Shed => "shed",
         }
     }
 }
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -79,7 +79,12 @@
     receive(conn, method, limit).await
 }
 
-async fn receive(
+/// Reads the response to a request that has been sent.
+///
+/// # Errors
+///
+/// Returns an error that says how far the response came.
+pub async fn receive(
     conn: &mut Conn,
     method: &Method,
     limit: usize,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod clock;
 pub mod control;
+pub mod fleet;
 pub mod frames;
 mod grants;
 pub mod http;
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -9,7 +9,7 @@
 /// that a blocked reader of the log never blocks the loop.
 const QUEUE: usize = 4_096;
 
-/// A logger to standard error. Lines are written by a thread of its own;
+/// A logger to standard output. Lines are written by a thread of its own;
 /// dropping the guard writes those that wait.
 pub fn logger(settings: &LogSettings) -> (Logger, AsyncGuard) {
     let level = match settings.level {
@@ -20,11 +20,11 @@
     };
     match settings.format {
         LogFormat::Json => {
-            let drain = slog_json::Json::default(std::io::stderr());
+            let drain = slog_json::Json::default(std::io::stdout());
             start(std::sync::Mutex::new(drain).map(slog::Fuse), level)
         }
         LogFormat::Terminal => {
-            let decorator = slog_term::TermDecorator::new().build();
+            let decorator = slog_term::TermDecorator::new().stdout().build();
             let drain = slog_term::FullFormat::new(decorator).build();
             start(drain.fuse(), level)
         }
--- a/crates/node/src/problem.rs
+++ b/crates/node/src/problem.rs
@@ -77,5 +77,6 @@
         Reason::AlreadyRan => "Request already ran",
         Reason::Poisoned => "Request crashes upstreams",
         Reason::Cancelled => "Request cancelled",
+        Reason::Shed => "Upstream refused the request",
     }
 }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -6,6 +6,7 @@
 
 use std::fmt;
 use std::io;
+use std::os::fd::AsRawFd;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -75,13 +76,14 @@
     Close,
 }
 
-/// A connection with a read buffer.
+/// A connection, or one direction of it, with its buffers.
 #[derive(Debug)]
-pub struct Conn {
-    stream: TcpStream,
+pub struct Conn<S = TcpStream> {
+    stream: S,
     buf: BytesMut,
     out: BytesMut,
     limit: Duration,
+    unframed: bool,
 }
 
 impl Conn {
@@ -90,30 +92,29 @@
     #[must_use]
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        let (buf, out) = (BytesMut::new(), BytesMut::new());
-        Self { stream, buf, out, limit: Duration::MAX }
+        Self::of(stream)
     }
 
-    /// Whether bytes have been read that no message has used yet.
+    /// Makes the end of the connection discard what has not been delivered.
+    pub fn reset_on_close(&self) {
+        let linger = libc::linger { l_onoff: 1, l_linger: 0 };
+        set_option(&self.stream, libc::SOL_SOCKET, libc::SO_LINGER, linger);
+    }
+}
+
+impl<S> Conn<S> {
+    /// Wraps a stream, or one direction of it.
     #[must_use]
-    pub fn has_unread(&self) -> bool {
-        !self.buf.is_empty()
+    pub fn of(stream: S) -> Self {
+        let (buf, out) = (BytesMut::new(), BytesMut::new());
+        let limit = Duration::MAX;
+        Self { stream, buf, out, limit, unframed: false }
     }
 
-    /// Reads more bytes into the buffer; 0 at the end of the stream.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of the socket.
-    pub async fn fill(&mut self) -> io::Result<usize> {
-        let mut buf = std::mem::take(&mut self.buf);
-        if buf.capacity() - buf.len() < READ_SIZE / 4 {
-            buf.reserve(READ_SIZE);
-        }
-        let begin = buf.len();
-        let (result, slice) = self.stream.read(buf.slice_mut(begin..)).await;
-        self.buf = slice.into_inner();
-        result
+    /// Takes a body without length for complete when the connection ends
+    /// without an error.
+    pub fn allow_unframed(&mut self) {
+        self.unframed = true;
     }
 
     /// Sets the time that a message may take to be written.
@@ -132,34 +133,29 @@
         &mut self.out
     }
 
-    /// Writes the bytes of [`Conn::out`].
-    ///
-    /// # Errors
-    ///
-    /// Returns whether some of the bytes were written before the failure.
-    pub async fn flush(&mut self) -> Result<(), bool> {
-        let mut out = std::mem::take(&mut self.out);
-        let mut sent = 0;
-        while sent < out.len() {
-            let (result, slice) = self.stream.write(out.slice(sent..)).await;
-            out = slice.into_inner();
-            sent += result.map_err(|_| sent > 0)?;
-        }
-        out.clear();
-        // A buffer that a large body has grown is not kept.
-        if out.capacity() <= OUT_KEPT {
-            self.out = out;
-        }
-        Ok(())
+    /// Whether bytes have been read that no message has used yet.
+    #[must_use]
+    pub fn has_unread(&self) -> bool {
+        !self.buf.is_empty()
     }
 
-    /// Writes all of `bytes`.
+}
+
+impl<S: AsyncReadRent> Conn<S> {
+    /// Reads more bytes into the buffer; 0 at the end of the stream.
     ///
     /// # Errors
     ///
     /// Returns the error of the socket.
-    pub async fn write(&mut self, bytes: Bytes) -> io::Result<()> {
-        self.stream.write_all(bytes).await.0.map(|_| ())
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        let mut buf = std::mem::take(&mut self.buf);
+        if buf.capacity() - buf.len() < READ_SIZE / 4 {
+            buf.reserve(READ_SIZE);
+        }
+        let begin = buf.len();
+        let (result, slice) = self.stream.read(buf.slice_mut(begin..)).await;
+        self.buf = slice.into_inner();
+        result
     }
 
     /// Reads bytes and drops them; 0 at the end of the stream.
@@ -172,11 +168,6 @@
         self.fill().await
     }
 
-    /// Says that nothing more will be written.
-    pub async fn finish(&mut self) {
-        let _ = self.stream.shutdown().await;
-    }
-
     /// Reads a request head; `None` if the stream ended before it began.
     ///
     /// # Errors
@@ -233,6 +224,7 @@
             }
             Framing::Length(size) => self.fixed(size).await,
             Framing::Chunked => self.chunked(limit).await,
+            Framing::Close if self.unframed => self.rest(limit).await,
             Framing::Close => Err(WireError::Malformed(
                 "the end of the body cannot be told from a cut".to_owned(),
             )),
@@ -251,6 +243,20 @@
         Ok(self.buf.split_to(size).freeze())
     }
 
+    /// Reads to the end of the connection.
+    async fn rest(&mut self, limit: usize) -> Result<Bytes, WireError> {
+        loop {
+            if self.buf.len() > limit {
+                return Err(WireError::BodyTooLarge);
+            }
+            match self.fill().await {
+                Ok(0) => return Ok(self.buf.split().freeze()),
+                Ok(_) => {}
+                Err(_) => return Err(WireError::Closed),
+            }
+        }
+    }
+
     async fn chunked(&mut self, limit: usize) -> Result<Bytes, WireError> {
         let mut decoder = ChunkedBodyDecoder::default();
         let mut body = BytesMut::new();
@@ -301,6 +307,64 @@
     }
 }
 
+impl<S: AsyncWriteRent> Conn<S> {
+    /// Writes the bytes of [`Conn::out`].
+    ///
+    /// # Errors
+    ///
+    /// Returns whether some of the bytes were written before the failure.
+    pub async fn flush(&mut self) -> Result<(), bool> {
+        let mut out = std::mem::take(&mut self.out);
+        let mut sent = 0;
+        while sent < out.len() {
+            let (result, slice) = self.stream.write(out.slice(sent..)).await;
+            out = slice.into_inner();
+            sent += result.map_err(|_| sent > 0)?;
+        }
+        out.clear();
+        // A buffer that a large body has grown is not kept.
+        if out.capacity() <= OUT_KEPT {
+            self.out = out;
+        }
+        Ok(())
+    }
+
+    /// Writes all of `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub async fn write(&mut self, bytes: Bytes) -> io::Result<()> {
+        self.stream.write_all(bytes).await.0.map(|_| ())
+    }
+
+    /// Says that nothing more will be written.
+    pub async fn finish(&mut self) {
+        let _ = self.stream.shutdown().await;
+    }
+}
+
+/// Sets an option of a socket. A failure is ignored: without the options used
+/// here, a lost connection is only noticed later.
+pub(crate) fn set_option<T>(
+    stream: &TcpStream,
+    level: libc::c_int,
+    name: libc::c_int,
+    value: T,
+) {
+    // SAFETY: the descriptor is open while `stream` lives, and the value is
+    // of the size given.
+    unsafe {
+        libc::setsockopt(
+            stream.as_raw_fd(),
+            level,
+            name,
+            (&raw const value).cast(),
+            size_of::<T>() as libc::socklen_t,
+        );
+    }
+}
+
 fn malformed(error: DecodeError) -> WireError {
     match error {
         DecodeError::Parse(httparse::Error::TooManyHeaders) => {
