--- a/crates/core/src/fleet/reconcile.rs
+++ b/crates/core/src/fleet/reconcile.rs
@@ -303,7 +303,8 @@
             let handover = self.host.handover(first, last);
             let keys = (first, last);
             table.give(keys, &target.node, life.as_ref(), handover);
-            reasons.push("handover");
+            let warm = handover.is_some();
+            reasons.push(if warm { "handover" } else { "cold handover" });
         }
     }
 
