Test ownership in a fleet under overlapping faults

Reducers run against fakes of the store and of upstreams, on simulated time: lost nodes, freezes, partitions, a store that is down, turns nodes away, loses answers and performs writes late.

--- a/crates/core/src/fleet/reconcile.rs
+++ b/crates/core/src/fleet/reconcile.rs
@@ -527,21 +527,19 @@
         let name = node.to_owned();
         let kind = Kind::Nodes;
         let due = now.plus(TAKEOVER_RETRY);
-        let (call, op) = match (loss.stage, loss.lease) {
-            (Stage::Suspected, Some(known)) => {
-                let record = Record { revoked: true, ..Record::default() };
-                let op = Op::Update {
-                    kind,
-                    name: name.clone(),
-                    expect: known.revision,
-                    value: Value::Node(record),
-                };
-                (Call::Revoke(name.clone()), op)
-            }
-            _ => {
-                let op = Op::Read { kind, name: name.clone() };
-                (Call::Inspect(name.clone()), op)
-            }
+        let suspected = loss.stage == Stage::Suspected;
+        let (call, op) = if let (true, Some(known)) = (suspected, loss.lease) {
+            let record = Record { revoked: true, ..Record::default() };
+            let op = Op::Update {
+                kind,
+                name: name.clone(),
+                expect: known.revision,
+                value: Value::Node(record),
+            };
+            (Call::Revoke(name.clone()), op)
+        } else {
+            let op = Op::Read { kind, name: name.clone() };
+            (Call::Inspect(name.clone()), op)
         };
         let stage = match loss.stage {
             Stage::Suspected => Stage::Asking,
@@ -601,12 +599,12 @@
     pub(super) fn revoked(
         &mut self,
         node: &str,
-        outcome: Stored,
+        outcome: &Stored,
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
         let Some(loss) = self.losses.get_mut(node) else { return };
-        if let (Stored::Done(_), Some(known)) = (&outcome, loss.lease) {
+        if let (Stored::Done(_), Some(known)) = (outcome, loss.lease) {
             loss.stage = Stage::Revoked(known.ends);
             let wait = known.ends.since(now);
             let node = node.to_owned();
--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -209,7 +209,7 @@
             }
             Event::UpstreamDown => self.upstream_down(now, out),
             Event::Cancelled { ticket } => self.cancelled(ticket, now, out),
-            Event::Reloaded(settings) => self.reload(*settings, out),
+            Event::Reloaded(settings) => self.reload(&settings, out),
             Event::Stop => self.stop(now, out),
         }
     }
@@ -284,9 +284,9 @@
 
     /// Puts the bounds of new settings into force. The rest names addresses
     /// that are bound already.
-    fn reload(&mut self, settings: Settings, out: &mut Vec<Effect>) {
+    fn reload(&mut self, settings: &Settings, out: &mut Vec<Effect>) {
         self.settings.bounds = settings.bounds.clone();
-        let partly = self.settings != settings;
+        let partly = self.settings != *settings;
         out.push(Effect::Notice(Notice::Reloaded { partly }));
     }
 
@@ -376,7 +376,7 @@
                 self.edited(&service, outcome, now, out);
             }
             Call::Inspect(node) => self.inspected(&node, outcome, now),
-            Call::Revoke(node) => self.revoked(&node, outcome, now, out),
+            Call::Revoke(node) => self.revoked(&node, &outcome, now, out),
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! A fleet's reducers against fakes of the store and of upstreams.
+
+mod host;
+mod ownership;
+mod support;
--- /dev/null
+++ b/crates/core/tests/fleet/ownership.rs
@@ -0,0 +1,163 @@
+//! One owner per key, whatever is lost, late or cut off.
+
+use lagoondyke_core::fleet::host::Phase;
+use lagoondyke_core::fleet::lease::TERM;
+
+use crate::support::{Trouble, World};
+
+/// Time for a first division, in milliseconds.
+const SETTLE: u64 = 4_000;
+
+/// Time after which a fleet without faults serves all keys, in milliseconds:
+/// the term of a lost lease, its revocation, and the announcements after it.
+const RECOVERY: u64 = TERM + 5_000;
+
+fn settled(count: usize, seed: u64) -> World {
+    let mut world = World::new(count, seed);
+    world.run(SETTLE);
+    assert!(world.held() > 0.999, "not all keys have an owner");
+    world
+}
+
+fn sound(world: &World) {
+    assert!(world.faults.is_empty(), "{:?}", &world.faults[..1]);
+}
+
+/// Guards against a first division that leaves keys without an owner or
+/// gives one twice.
+#[test]
+fn all_keys_are_divided_once() {
+    for seed in 0..5 {
+        sound(&settled(6, seed));
+    }
+}
+
+/// Guards against service that ends with any number of lost nodes.
+#[test]
+fn the_last_node_takes_over_everything() {
+    let mut world = settled(5, 1);
+    for index in 0..4 {
+        world.kill_node(index);
+        world.kill_upstream(index);
+    }
+    world.run(RECOVERY);
+    assert!(world.held() > 0.999, "held {}", world.held());
+    sound(&world);
+}
+
+/// Guards against a fleet that needs an operator after all of it restarted.
+#[test]
+fn a_fleet_that_restarts_as_a_whole_recovers() {
+    let mut world = settled(5, 2);
+    for index in 0..5 {
+        world.kill_node(index);
+        world.kill_upstream(index);
+    }
+    world.run(1_200);
+    for index in 0..5 {
+        world.start_node(index);
+        world.start_upstream(index);
+    }
+    world.run(RECOVERY);
+    assert!(world.held() > 0.999, "held {}", world.held());
+    sound(&world);
+}
+
+/// Guards against keys that change owner when only the node restarts.
+#[test]
+fn a_restarted_node_keeps_its_keys() {
+    let mut world = settled(4, 3);
+    world.kill_node(1);
+    world.start_node_in(1, 500);
+    world.run(2_500);
+    assert!(world.held() > 0.999, "held {}", world.held());
+    sound(&world);
+}
+
+/// Guards against an outage of the store that interrupts service.
+#[test]
+fn an_outage_of_the_store_interrupts_nothing() {
+    let mut world = settled(5, 4);
+    world.trouble = Trouble { down: true, ..Trouble::default() };
+    for _ in 0..45 {
+        world.run(100);
+        assert!(world.held() > 0.999, "held {}", world.held());
+    }
+    world.trouble = Trouble::default();
+    world.run(2_000);
+    assert!(world.held() > 0.999, "held {}", world.held());
+    sound(&world);
+}
+
+/// Guards against keys that stay with an upstream that leaves.
+#[test]
+fn an_upstream_that_drains_gives_up_its_keys() {
+    let mut world = settled(4, 5);
+    world.upstreams[2].phase = Phase::Draining;
+    world.run(4_000);
+    world.kill_upstream(2);
+    world.run(100);
+    assert!(world.held() > 0.999, "held {}", world.held());
+    sound(&world);
+}
+
+/// Guards against two owners under faults that overlap: lost nodes and
+/// upstreams, freezes, partitions, and a store that is down, turns nodes
+/// away, loses answers and performs writes late.
+#[test]
+fn faults_that_overlap_never_give_a_key_two_owners() {
+    for seed in 100..124 {
+        let mut world = settled(5, seed);
+        for _ in 0..14 {
+            fault(&mut world);
+            let span = 200 + world.random(2_500);
+            world.run(span);
+        }
+        heal(&mut world);
+        world.run(RECOVERY + TERM);
+        assert!(world.held() > 0.999, "seed {seed}: held {}", world.held());
+        assert!(world.faults.is_empty(), "seed {seed}: {}", world.faults[0]);
+    }
+}
+
+fn fault(world: &mut World) {
+    let index = world.random(5) as usize;
+    match world.random(12) {
+        0 => {
+            world.kill_node(index);
+            let span = 300 + world.random(9_000);
+            world.start_node_in(index, span);
+        }
+        1 => {
+            world.kill_node(index);
+            world.kill_upstream(index);
+            let span = 300 + world.random(9_000);
+            world.start_node_in(index, span);
+        }
+        2 => world.kill_upstream(index),
+        3 => world.start_upstream(index),
+        4 => {
+            let span = world.random(9_000);
+            world.freeze_node(index, span);
+        }
+        5 => world.link_node(index, false),
+        6 => world.link_node(index, true),
+        7 => world.bar_node(index, true),
+        8 => world.bar_node(index, false),
+        9 => world.trouble.down = !world.trouble.down,
+        10 => world.trouble = Trouble { lost: 40, late: true, down: false },
+        _ => world.trouble = Trouble::default(),
+    }
+}
+
+fn heal(world: &mut World) {
+    world.trouble = Trouble::default();
+    for index in 0..5 {
+        world.link_node(index, true);
+        world.bar_node(index, false);
+        world.start_node(index);
+        if !world.upstreams[index].up {
+            world.start_upstream(index);
+        }
+    }
+}
--- a/crates/node/src/fleet/callers.rs
+++ b/crates/node/src/fleet/callers.rs
@@ -211,7 +211,7 @@
                 self.push(Some(ticket), Due::Reply(reply), keep, is_head);
                 return Ok(keep);
             }
-            Err(response) => Due::Now(response),
+            Err(response) => Due::Now(*response),
         };
         self.push(None, due, keep, is_head);
         Ok(keep)
@@ -230,7 +230,11 @@
     }
 
     /// The request for the reducer, or an answer that needs none.
-    fn call(&self, head: RequestHead, body: Bytes) -> Result<Call, Response> {
+    fn call(
+        &self,
+        head: RequestHead,
+        body: Bytes,
+    ) -> Result<Call, Box<Response>> {
         let mut headers = head.headers;
         let path =
             head.uri.path_and_query().map(http::uri::PathAndQuery::as_str);
@@ -238,7 +242,7 @@
         if self.source == Source::Peer
             && let Some(name) = path.strip_prefix(DOCUMENTS)
         {
-            return Err(self.document(name));
+            return Err(Box::new(self.document(name)));
         }
         let order: Option<Order> = match self.source {
             Source::Peer => header(&headers, &ORDER),
@@ -251,7 +255,7 @@
         let asked = self.shell.dialect().asked(&headers);
         let asked: Asked = asked.map_err(|error| {
             self.shell.notices().malformed("caller", &error);
-            plain(StatusCode::BAD_REQUEST, &error)
+            Box::new(plain(StatusCode::BAD_REQUEST, &error))
         })?;
         let host = headers.get(header::HOST);
         let host = host.and_then(|host| host.to_str().ok());
--- a/crates/node/src/fleet/gossip.rs
+++ b/crates/node/src/fleet/gossip.rs
@@ -65,16 +65,13 @@
                 buf = back;
                 // An ICMP error of an earlier send is reported here.
                 let Ok((size, from)) = result else { continue };
-                match Gossip::decode(&buf[..size]) {
-                    Some(gossip) => {
-                        let gossip = Box::new(gossip);
-                        shell.post(Event::Heard { from, gossip });
-                    }
-                    None => {
-                        let error = "not a datagram of a node";
-                        shell.notices().malformed("gossip", &error);
-                    }
-                }
+                let Some(gossip) = Gossip::decode(&buf[..size]) else {
+                    let error = "not a datagram of a node";
+                    shell.notices().malformed("gossip", &error);
+                    continue;
+                };
+                let gossip = Box::new(gossip);
+                shell.post(Event::Heard { from, gossip });
             }
         });
     }
--- a/crates/node/src/fleet/notices.rs
+++ b/crates/node/src/fleet/notices.rs
@@ -47,7 +47,6 @@
     }
 
     /// The log.
-    #[must_use]
     pub fn logger(&self) -> &Logger {
         &self.log
     }
--- a/crates/node/src/fleet/pool.rs
+++ b/crates/node/src/fleet/pool.rs
@@ -29,10 +29,13 @@
 /// Unanswered probes after which a connection is given up.
 const KEEPALIVE_PROBES: libc::c_int = 3;
 
+/// Idle connections by address, and since when they are idle.
+type Idle = Rc<RefCell<HashMap<SocketAddr, Vec<(Conn, Millis)>>>>;
+
 /// A client with kept connections; clones share them.
 #[derive(Clone, Debug)]
 pub struct Pool {
-    idle: Rc<RefCell<HashMap<SocketAddr, Vec<(Conn, Millis)>>>>,
+    idle: Idle,
     connect: Duration,
     body_max: usize,
 }
@@ -74,10 +77,7 @@
     ) -> Result<Exchange, ExchangeError> {
         let now = clock::since_boot();
         loop {
-            let mut idle = self.idle.borrow_mut();
-            let kept = idle.get_mut(&addr).and_then(Vec::pop);
-            drop(idle);
-            let Some((mut conn, since)) = kept else { break };
+            let Some((mut conn, since)) = self.kept(addr) else { break };
             if now.since(since) <= age && conn.is_idle().await {
                 return Ok(self.begin(conn, addr, false));
             }
@@ -92,6 +92,10 @@
         Ok(self.begin(conn, addr, true))
     }
 
+    fn kept(&self, addr: SocketAddr) -> Option<(Conn, Millis)> {
+        self.idle.borrow_mut().get_mut(&addr)?.pop()
+    }
+
     fn begin(&self, conn: Conn, addr: SocketAddr, fresh: bool) -> Exchange {
         let pool = self.clone();
         let method = Method::GET;
@@ -189,9 +193,9 @@
 fn keep_alive(stream: &TcpStream) {
     let tcp = libc::IPPROTO_TCP;
     let on: libc::c_int = 1;
-    set_option(stream, libc::SOL_SOCKET, libc::SO_KEEPALIVE, on);
-    set_option(stream, tcp, libc::TCP_KEEPIDLE, KEEPALIVE);
-    set_option(stream, tcp, libc::TCP_KEEPINTVL, KEEPALIVE);
-    set_option(stream, tcp, libc::TCP_KEEPCNT, KEEPALIVE_PROBES);
-    set_option(stream, tcp, libc::TCP_USER_TIMEOUT, UNACKNOWLEDGED);
+    set_option(stream, libc::SOL_SOCKET, libc::SO_KEEPALIVE, &on);
+    set_option(stream, tcp, libc::TCP_KEEPIDLE, &KEEPALIVE);
+    set_option(stream, tcp, libc::TCP_KEEPINTVL, &KEEPALIVE);
+    set_option(stream, tcp, libc::TCP_KEEPCNT, &KEEPALIVE_PROBES);
+    set_option(stream, tcp, libc::TCP_USER_TIMEOUT, &UNACKNOWLEDGED);
 }
--- a/crates/node/src/fleet/shell.rs
+++ b/crates/node/src/fleet/shell.rs
@@ -225,6 +225,7 @@
     }
 
     /// Takes an announcement; the receiver gets the answer.
+    #[must_use]
     pub fn announce(&self, said: Announcement) -> Receiver<Grant> {
         let ticket = self.ticket();
         let (done, grant) = oneshot::channel();
--- a/crates/node/src/fleet/upstream.rs
+++ b/crates/node/src/fleet/upstream.rs
@@ -18,7 +18,7 @@
 use crate::wire::put_header;
 
 /// Time for a connection to be made.
-const CONNECT_LIMIT: Duration = Duration::from_millis(1_000);
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
 /// Largest answer, in bytes.
 const ANSWER_MAX: usize = 16 * 1024 * 1024;
@@ -44,7 +44,9 @@
 
 impl std::fmt::Debug for Upstream {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Upstream").field("addr", &self.addr).finish()
+        f.debug_struct("Upstream")
+            .field("addr", &self.addr)
+            .finish_non_exhaustive()
     }
 }
 
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -98,7 +98,7 @@
     /// Makes the end of the connection discard what has not been delivered.
     pub fn reset_on_close(&self) {
         let linger = libc::linger { l_onoff: 1, l_linger: 0 };
-        set_option(&self.stream, libc::SOL_SOCKET, libc::SO_LINGER, linger);
+        set_option(&self.stream, libc::SOL_SOCKET, libc::SO_LINGER, &linger);
     }
 }
 
@@ -349,7 +349,7 @@
     stream: &TcpStream,
     level: libc::c_int,
     name: libc::c_int,
-    value: T,
+    value: &T,
 ) {
     // SAFETY: the descriptor is open while `stream` lives, and the value is
     // of the size given.
@@ -358,7 +358,7 @@
             stream.as_raw_fd(),
             level,
             name,
-            (&raw const value).cast(),
+            std::ptr::from_ref(value).cast(),
             size_of::<T>() as libc::socklen_t,
         );
     }
