--- a/crates/node/src/fleet/pool.rs
+++ b/crates/node/src/fleet/pool.rs
@@ -16,8 +16,13 @@
 use crate::http::{ExchangeError, Response, exchange, receive};
 use crate::wire::{Conn, set_option};
 
-/// Idle connections kept for one address.
-const IDLE_MAX: usize = 64;
+/// Idle connections kept for one address. A connection takes memory on both
+/// sides, and a burst opens many.
+const IDLE_MAX: usize = 12;
+
+/// Idle time after which a connection is closed when another one becomes
+/// idle, in milliseconds.
+const IDLE_AGE: u64 = 5_000;
 
 /// Time for which sent bytes may stay unacknowledged, in milliseconds. A
 /// retransmission over the slowest link takes far less.
@@ -169,14 +174,17 @@
 
     /// Ends the exchange; the connection is kept if it can carry another.
     pub fn finish(mut self, keep: bool) {
-        let Some(conn) = self.conn.take() else { return };
+        let Some(mut conn) = self.conn.take() else { return };
         if !keep || conn.has_unread() {
             return;
         }
+        conn.release();
+        let now = clock::since_boot();
         let mut all = self.pool.idle.borrow_mut();
         let idle = all.entry(self.addr).or_default();
+        idle.retain(|(_, since)| now.since(*since) < IDLE_AGE);
         if idle.len() < IDLE_MAX {
-            idle.push((conn, clock::since_boot()));
+            idle.push((conn, now));
         }
     }
 }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -30,6 +30,10 @@
 /// Bytes that are read at once.
 const READ_SIZE: usize = 8 * 1024;
 
+/// Bytes that are read first: the buffer is held while a connection waits
+/// for a message.
+const READ_FIRST: usize = 2 * 1024;
+
 /// Largest write buffer that a connection keeps, in bytes.
 const OUT_KEPT: usize = 32 * 1024;
 
@@ -133,6 +137,14 @@
         &mut self.out
     }
 
+    /// Frees the buffers of a connection that becomes idle.
+    pub fn release(&mut self) {
+        if self.buf.is_empty() {
+            self.buf = BytesMut::new();
+        }
+        self.out = BytesMut::new();
+    }
+
     /// Whether bytes have been read that no message has used yet.
     #[must_use]
     pub fn has_unread(&self) -> bool {
@@ -149,7 +161,7 @@
     pub async fn fill(&mut self) -> io::Result<usize> {
         let mut buf = std::mem::take(&mut self.buf);
         if buf.capacity() - buf.len() < READ_SIZE / 4 {
-            buf.reserve(READ_SIZE);
+            buf.reserve(if buf.is_empty() { READ_FIRST } else { READ_SIZE });
         }
         let begin = buf.len();
         let (result, slice) = self.stream.read(buf.slice_mut(begin..)).await;
