--- a/crates/core/src/fleet/reconcile.rs
+++ b/crates/core/src/fleet/reconcile.rs
@@ -20,6 +20,10 @@
 /// Interval at which load is compared, in milliseconds.
 const BALANCE_INTERVAL: u64 = 500;
 
+/// Time after which a node's load shows a range that it got, in
+/// milliseconds; the time constant of the load.
+const SETTLE: u64 = 2_000;
+
 /// Age at which the first node of a service divides its keys although some
 /// nodes have no upstream yet, in milliseconds.
 const CREATE_LATEST: u64 = 4_000;
@@ -369,7 +373,11 @@
             capacity: self.capacity(now),
         }];
         for (name, peer) in self.directory.iter() {
-            if !self.takes(name, now) {
+            let settled = self
+                .received
+                .get(name)
+                .is_none_or(|&at| now.since(at) >= SETTLE);
+            if !settled || !self.takes(name, now) {
                 continue;
             }
             if table.of(name).count() >= RANGES_MAX {
--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -126,6 +126,8 @@
     pub(super) directory: Directory,
     pub(super) heat: Heat,
     pub(super) edit: Edit,
+    /// When each node last got a range: its load does not show it yet.
+    pub(super) received: BTreeMap<String, Millis>,
     pub(super) losses: BTreeMap<String, Loss>,
     pub(super) requests: Requests,
     pub(super) stop_at: Option<Millis>,
@@ -166,6 +168,7 @@
             directory: Directory::default(),
             heat: Heat::new(now),
             edit: Edit::new(now),
+            received: BTreeMap::new(),
             losses: BTreeMap::new(),
             requests: Requests::new(share, slack),
             stop_at: None,
@@ -526,6 +529,13 @@
         let mine = &self.settings.node;
         if service == self.settings.service {
             self.heat.retain(|key| table.at(key).node == *mine);
+            let old = self.tables.get(&service).map(|held| &held.table);
+            for range in &table.ranges {
+                let before = old.map(|old| &old.at(range.first).node);
+                if before.is_some_and(|before| *before != range.node) {
+                    self.received.insert(range.node.clone(), now);
+                }
+            }
         }
         self.tables.insert(service, Versioned { revision, table });
         self.edit.wake(now);
@@ -717,7 +727,7 @@
     /// Requests per second that the upstream can run.
     pub(super) fn capacity(&self, now: Millis) -> f64 {
         let slots = f64::from(self.host.slots().max(1));
-        let full = slots * 1_000.0 / self.requests.mean(now).max(1.0);
+        let full = slots * 1_000.0 / self.requests.steady_mean().max(1.0);
         if self.host.is_cold(now) {
             return full.min(self.warmup_rate());
         }
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -51,6 +51,10 @@
 /// Weight of the latest request in the mean time.
 const MEAN_WEIGHT: f64 = 0.08;
 
+/// The same for the capacity, which must not follow each slow moment: keys
+/// would move to and fro.
+const STEADY_WEIGHT: f64 = 0.02;
+
 /// Weight of the latest answer in the share of good ones.
 const GOOD_WEIGHT: f64 = 0.06;
 
@@ -118,6 +122,8 @@
     running: usize,
     window: Window,
     mean: f64,
+    /// The same over a longer time, for the capacity of the upstream.
+    steady: f64,
     good: f64,
     retries: Budget,
     suspects: Suspects,
@@ -135,6 +141,7 @@
             running: 0,
             window: Window::default(),
             mean: MEAN_FIRST,
+            steady: MEAN_FIRST,
             good: 1.0,
             retries: Budget::new(percent as u32, burst as u32),
             suspects: Suspects::new(),
@@ -171,6 +178,11 @@
         self.mean.max(sum / running)
     }
 
+    /// Mean time of a request over the last hundred or so, in milliseconds.
+    pub(super) fn steady_mean(&self) -> f64 {
+        self.steady
+    }
+
     /// Share of answers that are not failures.
     pub(super) fn good(&self) -> f64 {
         self.good
@@ -188,6 +200,7 @@
     fn ended(&mut self, since: Millis, good: bool, now: Millis) {
         let time = now.since(since) as f64;
         self.mean += MEAN_WEIGHT * (time - self.mean);
+        self.steady += STEADY_WEIGHT * (time - self.steady);
         let good = f64::from(u8::from(good));
         self.good += GOOD_WEIGHT * (good - self.good);
     }
