--- a/crates/core/src/fleet/balance.rs
+++ b/crates/core/src/fleet/balance.rs
@@ -34,14 +34,7 @@
 const EXCESS: f64 = 1.35;
 
 /// Share of its capacity below which an owner keeps its keys regardless.
-const BUSY: f64 = 0.4;
-
-/// Share of all capacity in use up to which faster upstreams are preferred
-/// in full.
-const ROOM: f64 = 0.35;
-
-/// Share of all capacity in use from which load is in proportion.
-const FULL: f64 = 0.7;
+const BUSY: f64 = 0.6;
 
 /// Smallest load that is worth a move, in requests per second.
 const WORTH: f64 = 1.0;
@@ -79,32 +72,6 @@
     rate: f64,
 }
 
-/// The fair load of each upstream. While there is room, faster upstreams get
-/// more than in proportion, since a request takes less time there.
-#[derive(Clone, Copy, Debug)]
-struct Shares {
-    power: f64,
-    /// Load for one unit of weight.
-    unit: f64,
-}
-
-impl Shares {
-    fn of(members: &[Member]) -> Self {
-        let rate: f64 = members.iter().map(|m| m.rate).sum();
-        let capacity: f64 = members.iter().map(|m| m.capacity).sum();
-        let fill = rate / capacity.max(1.0);
-        let full = (fill - ROOM) / (FULL - ROOM);
-        let power = 2.0 - full.clamp(0.0, 1.0);
-        let weight = |m: &Member| m.capacity.powf(power);
-        let weights: f64 = members.iter().map(weight).sum();
-        Self { power, unit: rate / weights.max(1.0) }
-    }
-
-    fn fair(&self, member: &Member) -> f64 {
-        self.unit * member.capacity.powf(self.power)
-    }
-}
-
 /// What `node` gives away of its `ranges`.
 #[must_use]
 pub fn plan(
@@ -116,17 +83,18 @@
     let Some(own) = members.iter().find(|m| m.node == node) else {
         return Vec::new();
     };
-    let shares = Shares::of(members);
-    let fair = shares.fair(own);
+    let rate: f64 = members.iter().map(|m| m.rate).sum();
+    let capacity: f64 = members.iter().map(|m| m.capacity).sum();
+    let fair = rate / capacity.max(1.0);
     let load = own.rate / own.capacity.max(0.1);
-    if own.rate < fair * EXCESS || load < BUSY {
+    if load < fair * EXCESS || load < BUSY {
         return Vec::new();
     }
-    let mut excess = own.rate - fair;
+    let mut excess = own.rate - fair * own.capacity;
     let mut rooms: Vec<(f64, &str)> = members
         .iter()
         .filter(|m| m.node != node)
-        .map(|m| (shares.fair(m) * FILL - m.rate, m.node.as_str()))
+        .map(|m| (fair * m.capacity * FILL - m.rate, m.node.as_str()))
         .filter(|room| room.0 >= WORTH)
         .collect();
     rooms.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(b.1)));
