Plan moves in the owner's memory, with one table update each

Each move wrote the table twice, each released part wrote it again, and nodes that met in an update tried again at once and met again.

The example of balance::plan is corrected: a receiver is filled to 95 % of its fair share, so 47 keys move and not 50.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -23,6 +23,7 @@
 pub mod heat;
 pub mod host;
 pub mod lease;
+mod moves;
 pub mod pick;
 pub mod queue;
 mod reconcile;
@@ -30,6 +31,7 @@
 pub mod request;
 pub mod settings;
 pub mod table;
+mod takeover;
 pub mod warmup;
 
 pub use reducer::Fleet;
--- a/crates/core/src/fleet/balance.rs
+++ b/crates/core/src/fleet/balance.rs
@@ -25,7 +25,7 @@
 //! let moves = plan("a", &all, &[(0, 65_535)], &heat);
 //! assert_eq!(moves.len(), 1);
 //! assert_eq!(moves[0].to, "b");
-//! assert_eq!((moves[0].first, moves[0].last), (0, 49));
+//! assert_eq!((moves[0].first, moves[0].last), (0, 46));
 //! ```
 
 use crate::fleet::heat::Heat;
@@ -108,8 +108,8 @@
             continue;
         };
         excess -= piece.rate;
-        remove(&mut left, piece);
         let Piece { first, last, .. } = piece;
+        left = without(&left, [(first, last)]);
         moves.push(Move { first, last, to: to.to_owned() });
     }
     moves
@@ -156,19 +156,27 @@
     }
 }
 
-fn remove(ranges: &mut Vec<(u16, u16)>, piece: Piece) {
-    let mut left = Vec::with_capacity(ranges.len() + 1);
-    for &(first, last) in ranges.iter() {
-        if piece.last < first || last < piece.first {
-            left.push((first, last));
-            continue;
-        }
-        if first < piece.first {
-            left.push((first, piece.first - 1));
-        }
-        if piece.last < last {
-            left.push((piece.last + 1, last));
+/// The parts of `ranges` that lie outside of all `holes`.
+pub(crate) fn without(
+    ranges: &[(u16, u16)],
+    holes: impl IntoIterator<Item = (u16, u16)>,
+) -> Vec<(u16, u16)> {
+    let mut left = ranges.to_vec();
+    for (begin, end) in holes {
+        let mut parts = Vec::with_capacity(left.len() + 1);
+        for (first, last) in left {
+            if end < first || last < begin {
+                parts.push((first, last));
+                continue;
+            }
+            if first < begin {
+                parts.push((first, begin - 1));
+            }
+            if end < last {
+                parts.push((end + 1, last));
+            }
         }
+        left = parts;
     }
-    *ranges = left;
+    left
 }
--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -18,10 +18,12 @@
 use crate::fleet::lease::{
     Lease, RENEWAL, RENEWAL_RETRY, Record, longest, shortened,
 };
-use crate::fleet::reconcile::{Edit, Loss};
+use crate::fleet::moves::Moves;
+use crate::fleet::reconcile::Edit;
 use crate::fleet::request::Requests;
 use crate::fleet::settings::Settings;
 use crate::fleet::table::Table;
+use crate::fleet::takeover::Loss;
 use crate::id::Ticket;
 
 /// Longest wait of a watch, in milliseconds. Gossip shows a version that a
@@ -126,6 +128,7 @@
     pub(super) directory: Directory,
     pub(super) heat: Heat,
     pub(super) edit: Edit,
+    pub(super) moves: Moves,
     /// When each node last got a range: its load does not show it yet.
     pub(super) received: BTreeMap<String, Millis>,
     pub(super) losses: BTreeMap<String, Loss>,
@@ -168,6 +171,7 @@
             directory: Directory::default(),
             heat: Heat::new(now),
             edit: Edit::new(now),
+            moves: Moves::default(),
             received: BTreeMap::new(),
             losses: BTreeMap::new(),
             requests: Requests::new(share, slack),
@@ -528,6 +532,7 @@
         }));
         let mine = &self.settings.node;
         if service == self.settings.service {
+            self.moves.prune(&table, mine);
             self.heat.retain(|key| table.at(key).node == *mine);
             let old = self.tables.get(&service).map(|held| &held.table);
             for range in &table.ranges {
@@ -538,7 +543,6 @@
             }
         }
         self.tables.insert(service, Versioned { revision, table });
-        self.edit.wake(now);
     }
 
     fn set_domains(
@@ -672,9 +676,6 @@
             let revision = item.revision;
             out.push(Effect::Notice(Notice::LeaseGained { revision }));
         }
-        if !self.claimed {
-            self.edit.wake(now);
-        }
     }
 
     /// Another node has written the record: ranges may have been given to
@@ -883,18 +884,20 @@
         }
         let Some(held) = held else { return Grant::default() };
         let stays = !self.host.is_leaving() && !self.is_out();
-        let ranges = held.table.of(&self.settings.node).filter(|range| {
-            stays
-                && range.next.is_none()
-                && range.life.as_ref() == self.host.life()
-        });
-        let ranges = ranges.map(|range| Granted {
-            first: range.first,
-            last: range.last,
-            fence: range.fence,
-            handover: range.handover.clone(),
-        });
-        Grant { ranges: Some(ranges.collect()), hold_ms }
+        let mut granted = Vec::new();
+        for range in held.table.of(&self.settings.node) {
+            if !stays || range.life.as_ref() != self.host.life() {
+                continue;
+            }
+            let staying = self.moves.staying(range.first, range.last);
+            granted.extend(staying.into_iter().map(|(first, last)| Granted {
+                first,
+                last,
+                fence: range.fence,
+                handover: range.handover.clone(),
+            }));
+        }
+        Grant { ranges: Some(granted), hold_ms }
     }
 
     fn upstream_down(&mut self, now: Millis, out: &mut Vec<Effect>) {
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -564,7 +564,7 @@
             let detail = "the node does not own the key";
             return Some(Refusal::new(Reason::NotOwner, detail));
         }
-        if range.next.is_some() && !self.host.holds(key, now) {
+        if self.moves.has(key) && !self.host.holds(key, now) {
             let detail = "the key moves to another node";
             return Some(Refusal::new(Reason::Moving, detail));
         }
--- a/crates/core/src/fleet/table.rs
+++ b/crates/core/src/fleet/table.rs
@@ -2,8 +2,7 @@
 //!
 //! Keys are the numbers 0 to 65,535. Ranges cover all of them without gaps
 //! and without overlap. A range belongs to one node, and to one life of the
-//! upstream beside it. It moves in two steps: its owner names the next node,
-//! lets the upstream release the range, and then hands it over.
+//! upstream beside it.
 //!
 //! # Example
 //!
@@ -49,9 +48,6 @@
     /// The owning life; none until the node has claimed the range.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub life: Option<Life>,
-    /// The node that gets the range once the owner has released it.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub next: Option<String>,
     /// Token with which the earlier owner released the range.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub handover: Option<String>,
@@ -274,7 +270,6 @@
             range.fence = fence;
             node.clone_into(&mut range.node);
             range.life = life.cloned();
-            range.next = None;
             range.handover = handover.map(str::to_owned);
         }
     }
--- /dev/null
+++ b/crates/core/src/fleet/takeover.rs
@@ -0,0 +1,230 @@
+//! Takeover from lost nodes.
+//!
+//! A node that has been silent is revoked: its record in the store is
+//! overwritten on the condition of the revision that it last had. After that
+//! its renewals fail, and its right ends at a known time. Then its ranges
+//! are given away.
+
+use crate::clock::Millis;
+use crate::fleet::balance::Move;
+use crate::fleet::effect::{Effect, Notice, Op};
+use crate::fleet::event::{Call, Kind, Stored, Value};
+use crate::fleet::lease::{Known, Record, TERM, longest};
+use crate::fleet::moves::Target;
+use crate::fleet::reducer::Fleet;
+use crate::fleet::table::Table;
+
+/// Delay for each node that precedes this one in the order of names before
+/// it takes over from a lost node, in milliseconds.
+const TAKEOVER_STEP: u64 = 600;
+
+/// Pause after a failed step of a takeover, in milliseconds.
+const TAKEOVER_RETRY: u64 = 500;
+
+/// The takeover from a lost node.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Loss {
+    stage: Stage,
+    lease: Option<Known>,
+    /// Revision of the table before the revocation was confirmed. A table
+    /// that has changed since may have been claimed by the node again.
+    table: u64,
+    due: Millis,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stage {
+    /// Lost; waits for its turn or for a retry.
+    Suspected,
+    /// A call to the store is under way.
+    Asking,
+    /// The lease is revoked, and ends at this time.
+    Revoked(Millis),
+}
+
+impl Fleet {
+    /// Revokes the leases of lost nodes that own ranges.
+    pub(super) fn watch_losses(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let Some(held) = self.tables.get(&self.settings.service) else {
+            return;
+        };
+        let mut owners: Vec<String> =
+            held.table.ranges.iter().map(|range| range.node.clone()).collect();
+        let revision = held.revision;
+        owners.sort();
+        owners.dedup();
+        for owner in owners {
+            if owner == self.settings.node {
+                continue;
+            }
+            self.watch_loss(&owner, revision, now, out);
+        }
+    }
+
+    fn watch_loss(
+        &mut self,
+        node: &str,
+        table: u64,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        if !self.directory.is_lost(node, self.started, now) {
+            self.losses.remove(node);
+            return;
+        }
+        let Some(loss) = self.losses.get(node).copied() else {
+            let delay = TAKEOVER_STEP * self.rank(now);
+            let lease = self.directory.get(node).and_then(|p| p.lease);
+            let due = now.plus(delay);
+            let stage = Stage::Suspected;
+            let loss = Loss { stage, lease, table, due };
+            self.losses.insert(node.to_owned(), loss);
+            let node = node.to_owned();
+            out.push(Effect::Notice(Notice::NodeLost { node }));
+            return;
+        };
+        let stale =
+            matches!(loss.stage, Stage::Revoked(_)) && loss.table != table;
+        let ask = loss.stage == Stage::Suspected || stale;
+        if !ask || now < loss.due || self.lease.left(now) == 0 {
+            return;
+        }
+        self.ask(node, loss, table, now, out);
+    }
+
+    /// Takes the next step of a takeover.
+    fn ask(
+        &mut self,
+        node: &str,
+        loss: Loss,
+        table: u64,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let name = node.to_owned();
+        let kind = Kind::Nodes;
+        let due = now.plus(TAKEOVER_RETRY);
+        let suspected = loss.stage == Stage::Suspected;
+        let (call, op) = if let (true, Some(known)) = (suspected, loss.lease) {
+            let record = Record { revoked: true, ..Record::default() };
+            let op = Op::Update {
+                kind,
+                name: name.clone(),
+                expect: known.revision,
+                value: Value::Node(record),
+            };
+            (Call::Revoke(name.clone()), op)
+        } else {
+            let op = Op::Read { kind, name: name.clone() };
+            (Call::Inspect(name.clone()), op)
+        };
+        let stage = match loss.stage {
+            Stage::Suspected => Stage::Asking,
+            other => other,
+        };
+        self.losses.insert(name, Loss { stage, table, due, ..loss });
+        out.push(Effect::Store { call, op });
+    }
+
+    /// Nodes of the service that precede this one in the order of names.
+    fn rank(&self, now: Millis) -> u64 {
+        let own = self.settings.node.as_str();
+        let before = self.directory.iter().filter(|(node, peer)| {
+            *node < own
+                && peer.said.service == self.settings.service
+                && self.directory.is_live(node, now)
+        });
+        before.count() as u64
+    }
+
+    pub(super) fn inspected(
+        &mut self,
+        node: &str,
+        outcome: Stored,
+        now: Millis,
+    ) {
+        let Some(loss) = self.losses.get_mut(node) else { return };
+        let ends = now.plus(longest(TERM));
+        match outcome {
+            Stored::Done(item) => {
+                let revoked = matches!(item.value,
+                    Some(Value::Node(record)) if record.revoked);
+                if revoked {
+                    if !matches!(loss.stage, Stage::Revoked(_)) {
+                        loss.stage = Stage::Revoked(ends);
+                    }
+                    return;
+                }
+                loss.lease = Some(Known::read(item.revision, now));
+                loss.stage = Stage::Suspected;
+            }
+            Stored::Missing => {
+                if !matches!(loss.stage, Stage::Revoked(_)) {
+                    loss.stage = Stage::Revoked(ends);
+                }
+            }
+            _ => {
+                if loss.stage == Stage::Asking {
+                    loss.stage = Stage::Suspected;
+                }
+                loss.table = 0;
+                loss.due = now.plus(TAKEOVER_RETRY);
+            }
+        }
+    }
+
+    pub(super) fn revoked(
+        &mut self,
+        node: &str,
+        outcome: &Stored,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(loss) = self.losses.get_mut(node) else { return };
+        if let (Stored::Done(_), Some(known)) = (outcome, loss.lease) {
+            loss.stage = Stage::Revoked(known.ends);
+            let wait = known.ends.since(now);
+            let node = node.to_owned();
+            out.push(Effect::Notice(Notice::Revoked { node, wait }));
+            return;
+        }
+        // The record has changed, or the outcome is not known: read it.
+        loss.lease = None;
+        loss.stage = Stage::Suspected;
+        loss.due = now.plus(TAKEOVER_RETRY);
+        if let Stored::Conflict(_) = outcome {
+            loss.due = now;
+        }
+    }
+
+    /// Gives away the ranges of lost nodes whose leases have ended.
+    pub(super) fn take_over(
+        &self,
+        table: &mut Table,
+        revision: u64,
+        now: Millis,
+        reasons: &mut Vec<&'static str>,
+    ) {
+        for (node, loss) in &self.losses {
+            let Stage::Revoked(ends) = loss.stage else { continue };
+            if now < ends || loss.table != revision {
+                continue;
+            }
+            let ranges: Vec<(u16, u16)> = table
+                .of(node)
+                .map(|range| (range.first, range.last))
+                .collect();
+            let mut targets = self.targets(now);
+            if self.host.is_ready() && !self.is_out() {
+                let node = self.settings.node.clone();
+                let capacity = 1.0_f64.max(self.capacity(now));
+                targets.push(Target { node, capacity });
+            }
+            for Move { first, last, to } in self.divide(&ranges, &targets) {
+                let life = self.life_of(&to);
+                table.give((first, last), &to, life.as_ref(), None);
+                reasons.push("takeover from a lost node");
+            }
+        }
+    }
+}
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -96,7 +96,7 @@
     }
 
     /// A request that another node sends for this node's upstream.
-    fn from_peer(&mut self, priority: u8, budget: u64) -> Vec<Effect> {
+    fn peer_asks(&mut self, priority: u8, budget: u64) -> Vec<Effect> {
         let ticket = Ticket(self.next);
         self.next += 1;
         self.step(Event::Arrived(Arrival {
@@ -259,14 +259,14 @@
 fn an_upstream_that_leaves_gets_no_more_requests() {
     let mut bench = Bench::new();
     bench.announce(Phase::Ready, 1);
-    assert_eq!(dispatches(&bench.from_peer(0, 5_000)), 1);
-    assert_eq!(dispatches(&bench.from_peer(0, 5_000)), 0, "queued");
+    assert_eq!(dispatches(&bench.peer_asks(0, 5_000)), 1);
+    assert_eq!(dispatches(&bench.peer_asks(0, 5_000)), 0, "queued");
     let out = bench.announce(Phase::Draining, 1);
     let refusal = refusal(&out).expect("the queue is turned away");
     assert_eq!(refusal.verdict, Verdict::NotRun);
     let out = bench.run_done(1, Ok(200));
     assert_eq!(dispatches(&out), 0);
-    assert_eq!(dispatches(&bench.from_peer(0, 5_000)), 0);
+    assert_eq!(dispatches(&bench.peer_asks(0, 5_000)), 0);
 }
 
 /// Guards against more requests to a cold upstream than it bears.
@@ -275,14 +275,14 @@
     let mut bench = Bench::new();
     bench.announce(Phase::Ready, 100);
     let ticket = Ticket(99);
-    bench.from_peer(0, 5_000);
+    bench.peer_asks(0, 5_000);
     let outcome =
         Outcome { result: Ok(200), load: None, cold_ms: Some(3_000) };
     bench.step(Event::UpstreamDone { ticket: Ticket(1), outcome });
     let _ = ticket;
     let mut sent = 0;
     for _ in 0..50 {
-        sent += dispatches(&bench.from_peer(0, 1_000));
+        sent += dispatches(&bench.peer_asks(0, 1_000));
         bench.now += 10;
     }
     assert!(sent <= 5, "{sent} in half a second");
@@ -295,7 +295,7 @@
     bench.announce(Phase::Ready, 1);
     let mut refusals = 0;
     for _ in 0..20 {
-        let out = bench.from_peer(1, 600);
+        let out = bench.peer_asks(1, 600);
         let Some(refusal) = refusal(&out) else { continue };
         assert_eq!(refusal.reason, Reason::Overloaded);
         assert!(refusal.retry_after.is_some());
@@ -309,9 +309,9 @@
 fn urgent_requests_go_first() {
     let mut bench = Bench::new();
     bench.announce(Phase::Ready, 1);
-    bench.from_peer(1, 5_000);
-    bench.from_peer(2, 5_000);
-    bench.from_peer(0, 5_000);
+    bench.peer_asks(1, 5_000);
+    bench.peer_asks(2, 5_000);
+    bench.peer_asks(0, 5_000);
     let out = bench.run_done(1, Ok(200));
     let next = out.iter().find_map(|effect| match effect {
         Effect::Dispatch { ticket, .. } => Some(ticket.0),
