Bound the ranges in an answer to an announcement

Answers of more than 4 KiB are not acknowledged. An answer has room for at least 56 ranges with their tokens; tokens are left out once the upstream has the range, and an owner of more ranges merges the least loaded with a neighbour.

--- a/crates/core/src/fleet/host.rs
+++ b/crates/core/src/fleet/host.rs
@@ -14,6 +14,13 @@
 /// Announcements come every 0.87 s, so two in a row may be lost.
 pub const HOLD: u64 = 3_000;
 
+/// Room for ranges in an answer to an announcement, in bytes. An upstream
+/// takes answers of at most 4 KiB; the rest is for what is around them.
+const ANSWER_ROOM: usize = 3_900;
+
+/// Most bytes of a range in an answer, without its token.
+const RANGE_BYTES: usize = 32;
+
 /// State that an upstream announces.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Phase {
@@ -93,6 +100,25 @@
     pub hold_ms: u64,
 }
 
+impl Grant {
+    /// A grant of as many of `ranges` as an answer has room for.
+    #[must_use]
+    pub fn of(ranges: Vec<Granted>, hold_ms: u64) -> Self {
+        let mut room = ANSWER_ROOM;
+        let mut fitting = Vec::with_capacity(ranges.len());
+        for range in ranges {
+            let token = range.handover.as_ref().map_or(0, String::len);
+            let size = RANGE_BYTES + token;
+            if size > room {
+                break;
+            }
+            room -= size;
+            fitting.push(range);
+        }
+        Self { ranges: Some(fitting), hold_ms }
+    }
+}
+
 /// How an announcement was taken.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Taken {
--- a/crates/core/src/fleet/moves.rs
+++ b/crates/core/src/fleet/moves.rs
@@ -8,7 +8,7 @@
 use crate::clock::Millis;
 use crate::fleet::balance::{self, Member, Move};
 use crate::fleet::reducer::Fleet;
-use crate::fleet::table::{KEY_MAX, Table};
+use crate::fleet::table::{KEY_MAX, Range, Table};
 
 /// Interval at which load is compared, in milliseconds.
 const BALANCE_INTERVAL: u64 = 500;
@@ -179,12 +179,41 @@
         if held.is_empty() {
             return;
         }
+        if table.of(&self.settings.node).count() > RANGES_MAX {
+            self.merge_coldest(table, now);
+            return;
+        }
         let node = self.settings.node.clone();
         let members = self.members(table, now);
         let moves = balance::plan(&node, &members, &held, &self.heat);
         self.moves.list.extend(moves);
     }
 
+    /// Plans to give the least loaded range to the owner of a neighbouring
+    /// one, so that the two become one: an answer to an announcement has
+    /// room for a limited number of ranges.
+    fn merge_coldest(&mut self, table: &Table, now: Millis) {
+        let node = &self.settings.node;
+        let mut coldest: Option<(f64, Move)> = None;
+        for (place, range) in table.ranges.iter().enumerate() {
+            if range.node != *node {
+                continue;
+            }
+            let before = place.checked_sub(1).map(|p| &table.ranges[p]);
+            let neighbours = [before, table.ranges.get(place + 1)];
+            let mut owners = neighbours.into_iter().flatten();
+            let fits = |other: &&Range| self.takes(&other.node, now);
+            let Some(owner) = owners.find(fits) else { continue };
+            let (first, last) = (range.first, range.last);
+            let weight = self.weight(first, last);
+            if coldest.as_ref().is_none_or(|(best, _)| weight < *best) {
+                let to = owner.node.clone();
+                coldest = Some((weight, Move { first, last, to }));
+            }
+        }
+        self.moves.list.extend(coldest.map(|(_, m)| m));
+    }
+
     /// This node's upstream, and those that can take ranges.
     fn members(&mut self, table: &Table, now: Millis) -> Vec<Member> {
         let mut members = vec![Member {
--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -890,14 +890,20 @@
                 continue;
             }
             let staying = self.moves.staying(range.first, range.last);
-            granted.extend(staying.into_iter().map(|(first, last)| Granted {
-                first,
-                last,
-                fence: range.fence,
-                handover: range.handover.clone(),
+            granted.extend(staying.into_iter().map(|(first, last)| {
+                Granted {
+                    first,
+                    last,
+                    fence: range.fence,
+                    // The token matters only until the upstream has the range.
+                    handover: range
+                        .handover
+                        .clone()
+                        .filter(|_| !self.host.holds(first, now)),
+                }
             }));
         }
-        Grant { ranges: Some(granted), hold_ms }
+        Grant::of(granted, hold_ms)
     }
 
     fn upstream_down(&mut self, now: Millis, out: &mut Vec<Effect>) {
