--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -63,6 +63,10 @@
 /// back into service, until it announces itself, in milliseconds.
 const RETURN_COLD: u64 = 1_500;
 
+/// Longest time that an announcement waits for a claim, in milliseconds. The
+/// upstream waits for a second, and announces itself again only after that.
+const PARKED_MAX: u64 = 400;
+
 /// A kind of objects that the node follows.
 #[derive(Clone, Copy, Debug)]
 struct Feed {
@@ -136,6 +140,8 @@
     pub(super) stop_at: Option<Millis>,
     feeds: [Feed; 3],
     renewal: Renewal,
+    /// An announcement that waits for a claim, and since when.
+    parked: Option<(Ticket, Millis)>,
     count: u64,
     gossip_count: u64,
     gossip_due: Millis,
@@ -179,6 +185,7 @@
             feeds: [Kind::Config, Kind::Domains, Kind::Tables]
                 .map(|kind| Feed::new(kind, now)),
             renewal: Renewal { due: now, ..Renewal::default() },
+            parked: None,
             count: 0,
             gossip_count: 0,
             gossip_due: now,
@@ -285,6 +292,7 @@
         self.catch_up(now, out);
         self.watch_losses(now, out);
         self.reconcile(now, out);
+        self.check_parked(now, out);
         self.tick_requests(now, out);
         self.end(now, out);
     }
@@ -381,6 +389,7 @@
             }
             Call::Edit(service) | Call::Reread(service) => {
                 self.edited(&service, outcome, now, out);
+                self.check_parked(now, out);
             }
             Call::Inspect(node) => self.inspected(&node, outcome, now),
             Call::Revoke(node) => self.revoked(&node, &outcome, now, out),
@@ -855,6 +864,20 @@
             self.empty_queue(now, out);
         }
         self.reconcile(now, out);
+        if self.is_claiming() && self.host.is_ready() {
+            self.answer_parked(now, out);
+            self.parked = Some((ticket, now));
+            return;
+        }
+        self.acknowledge(ticket, now, out);
+    }
+
+    fn acknowledge(
+        &mut self,
+        ticket: Ticket,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
         let grant = self.grant(now);
         self.host.answered(&grant, now);
         out.push(Effect::Acknowledge { ticket, grant });
@@ -862,6 +885,34 @@
         self.pump(now, out);
     }
 
+    /// Whether the node has yet to claim its ranges for the present life of
+    /// its upstream.
+    fn is_claiming(&self) -> bool {
+        let service = &self.settings.service;
+        let Some(held) = self.tables.get(service) else {
+            return self.config.is_none() || !self.tables_current();
+        };
+        let life = self.host.life();
+        let mut own = held.table.of(&self.settings.node);
+        !self.claimed || own.any(|range| range.life.as_ref() != life)
+    }
+
+    /// Answers an announcement that waits for a claim.
+    fn answer_parked(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        if let Some((ticket, _)) = self.parked.take() {
+            self.acknowledge(ticket, now, out);
+        }
+    }
+
+    /// Answers an announcement that has waited for a claim, once that is
+    /// done or has taken too long.
+    fn check_parked(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let Some((_, since)) = self.parked else { return };
+        if !self.is_claiming() || now.since(since) >= PARKED_MAX {
+            self.answer_parked(now, out);
+        }
+    }
+
     /// Why an announcement does not concern this node's upstream.
     fn misplaced(&self, said: &Announcement) -> Option<&'static str> {
         if said.address != self.settings.upstream.to_string() {
--- a/crates/core/tests/fleet/ownership.rs
+++ b/crates/core/tests/fleet/ownership.rs
@@ -84,6 +84,25 @@
     sound(&world);
 }
 
+/// Guards against an upstream that starts with its node and gets its keys
+/// only with the second announcement, 0.87 s later.
+#[test]
+fn a_restart_takes_less_than_an_interval_of_announcements() {
+    let mut world = settled(4, 8);
+    for index in 0..4 {
+        world.kill_node(index);
+        world.kill_upstream(index);
+    }
+    world.run(1_200);
+    for index in 0..4 {
+        world.start_node(index);
+        world.start_upstream(index);
+    }
+    world.run(600);
+    assert!(world.held() > 0.999, "held {}", world.held());
+    sound(&world);
+}
+
 /// Guards against an outage of the store that interrupts service.
 #[test]
 fn an_outage_of_the_store_interrupts_nothing() {
