--- /dev/null
+++ b/crates/lagoondyked/tests/fleet.rs
@@ -0,0 +1,26 @@
+//! Nodes of a fleet as processes, against stand-ins of the platform.
+
+use std::path::PathBuf;
+
+use lagoondyke_platform_standin::soak::{Findings, Plan, run};
+use lagoondyke_standin::block_on;
+
+fn soak(seed: u64, seconds: u64, nodes: usize) -> Findings {
+    let plan = Plan {
+        seed,
+        seconds,
+        nodes,
+        program: PathBuf::from(env!("CARGO_BIN_EXE_lagoondyked")),
+        folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
+    };
+    block_on(run(plan)).expect("a soak needs processes and addresses")
+}
+
+/// Guards against a path from caller to upstream that does not work in real
+/// processes, and against answers and refusals that are not true there.
+#[test]
+fn a_fleet_serves_and_keeps_its_promises_under_faults() {
+    let findings = soak(1, 5, 4);
+    assert!(findings.faults.is_empty(), "{:?}", findings.faults);
+    assert!(findings.answered > 0);
+}
