--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -15,10 +15,13 @@
 //! time and appends [`effect::Effect`]s. `docs/platform.md` describes the
 //! protocol.
 
+mod announce;
 pub mod balance;
 pub mod config;
+mod documents;
 pub mod effect;
 pub mod event;
+mod exchange;
 pub mod gossip;
 pub mod heat;
 pub mod host;
@@ -28,6 +31,7 @@
 pub mod queue;
 mod reconcile;
 mod reducer;
+mod renewal;
 pub mod request;
 pub mod settings;
 pub mod table;
