--- a/crates/cli/tests/operator/pages.rs
+++ b/crates/cli/tests/operator/pages.rs
@@ -25,6 +25,12 @@
             sources(&dir, &mut tests);
         }
     }
+    for dir in ["platform/tests", "platform/standin/tests"] {
+        let dir = root.join(dir);
+        if dir.exists() {
+            sources(&dir, &mut tests);
+        }
+    }
     let rows = page.lines().filter(|line| line.starts_with("| "));
     let last = rows.filter_map(|line| line.rsplit('|').nth(1));
     let mut count = 0;
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -304,7 +304,9 @@
             refusal.verdict = Verdict::MayHaveRun;
             refusal.reason = Reason::ConnectionLost;
         }
-        if let Some(time) = refusal.retry_after {
+        if let Some(time) = refusal.retry_after
+            && entry.source == Source::Caller
+        {
             // Callers that were refused together do not return together.
             let spread = self.random.random_range(0..=time / 2);
             refusal.retry_after = Some(time + spread);
--- a/crates/node/src/fleet/notices.rs
+++ b/crates/node/src/fleet/notices.rs
@@ -8,6 +8,7 @@
 
 use lagoondyke_core::clock::Millis;
 use lagoondyke_core::fleet::effect::Notice;
+use lagoondyke_core::verdict::Verdict;
 use slog::Logger;
 
 use crate::clock;
@@ -96,8 +97,8 @@
                     slog::info!(log, "request failed";
                         "id" => id, "decision" => decision,
                         "reason" => refusal.reason.name(),
-                        "may_have_run" => refusal.reason.verdict()
-                            != lagoondyke_core::verdict::Verdict::NotRun,
+                        "may_have_run" => refusal.verdict
+                            == Verdict::MayHaveRun,
                         "detail" => &refusal.detail,
                         "retry_after_ms" => refusal.retry_after,
                         "service" => service, "node" => node,
