Wake only requests whose key has moved

A request keeps its pause now unless its key has another owner, and an owner without an upstream is not asked.

--- a/crates/core/src/fleet/request/ingress.rs
+++ b/crates/core/src/fleet/request/ingress.rs
@@ -211,6 +211,9 @@
     /// Whether a node can be sent requests.
     pub(super) fn reaches(&self, node: &str, now: Millis) -> bool {
         let Some(peer) = self.directory.get(node) else { return false };
+        if peer.said.life.is_none() {
+            return false;
+        }
         let broken = peer.broken.is_some_and(|at| now.since(at) < BROKEN);
         !broken && self.directory.is_live(node, now)
     }
@@ -317,18 +320,40 @@
         }
     }
 
-    /// Lets all waiting requests look for their owners: owners changed.
+    /// Lets requests whose key has another owner now, or an owner here that
+    /// holds it, look for it at once. The others keep their pause: a restart
+    /// of the whole fleet changes the table once for each node.
     pub(in crate::fleet) fn owners_changed(
         &mut self,
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        for entry in self.requests.entries.values_mut() {
-            entry.retry = now;
+        let mut moved = Vec::new();
+        for (&ticket, entry) in &self.requests.entries {
+            if entry.state == State::Waiting && self.has_moved(entry, now) {
+                moved.push(ticket);
+            }
+        }
+        for ticket in moved {
+            if let Some(entry) = self.requests.entries.get_mut(&ticket) {
+                entry.retry = now;
+            }
         }
         self.wake_waiting(now, out);
     }
 
+    /// Whether a request's key has an owner that it was not sent to before.
+    fn has_moved(&self, entry: &Entry, now: Millis) -> bool {
+        let Some(key) = entry.order.key else { return true };
+        let held = self.tables.get(&entry.order.service);
+        let Some(held) = held else { return false };
+        let owner = &held.table.at(key).node;
+        if *owner == self.settings.node {
+            return self.host.holds(key, now);
+        }
+        entry.tried.last() != Some(owner)
+    }
+
     /// Looks for the owners of requests whose pause is over.
     pub(super) fn wake_waiting(&mut self, now: Millis, out: &mut Vec<Effect>) {
         let waiting = |entry: &Entry| {
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -223,6 +223,39 @@
     assert!(sends <= 8, "{sends} sends in a second");
 }
 
+/// Guards against waiting requests that are all sent again at each change of
+/// the table, and against requests for an owner whose upstream is not up yet:
+/// after a restart of the whole fleet, nodes with a tenth of a core did
+/// nothing else.
+#[test]
+fn changes_of_other_ranges_wake_no_request() {
+    let mut bench = Bench::new();
+    bench.gossip(1, "k");
+    bench.arrive("/k/", Some(3));
+    bench.peer_done(1, refused(Reason::NoOwner));
+    let share = Share { node: "n1".to_owned(), slots: 1 };
+    let mut table = Table::even(&[share]);
+    let mut sends = 0;
+    for revision in 6..26 {
+        table.touched += 1;
+        let value = Some(Value::Table(table.clone()));
+        let name = "k".to_owned();
+        let items = vec![Item { name, revision, value }];
+        let outcome = Stored::Changed { items, revision };
+        let call = Call::Watch(Kind::Tables);
+        sends += forwards(&bench.step(Event::Stored { call, outcome })).len();
+    }
+    assert_eq!(sends, 0);
+    table.give((0, 9), "n2", None, None);
+    bench.gossip(2, "k");
+    let value = Some(Value::Table(table));
+    let items = vec![Item { name: "k".to_owned(), revision: 30, value }];
+    let outcome = Stored::Changed { items, revision: 30 };
+    let call = Call::Watch(Kind::Tables);
+    let out = bench.step(Event::Stored { call, outcome });
+    assert_eq!(forwards(&out).len(), 1, "the new owner is asked at once");
+}
+
 /// Guards against a refusal that says `not-run` after a request was sent
 /// without an answer.
 #[test]
