Hold back forks while a test looks for free addresses

Cause: a process that another test forks keeps all descriptors until it execs, among them the listening socket with which free_addr looks whether a port is free. Process::start then connects to that socket and takes the address to be in use. Ruled out: addresses given out twice (a counter), and ephemeral ports (they lie above 32,768).

--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -7,6 +7,7 @@
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Pause between two attempts to connect to a starting program.
@@ -46,9 +47,11 @@
             command.stderr(Stdio::null());
         }
         die_with_parent(&mut command);
+        let forking = lock_sockets();
         let child = command.spawn().map_err(|e| {
             io::Error::new(e.kind(), format!("{}: {e}", path.display()))
         })?;
+        drop(forking);
         let mut process = Self { child };
         process.wait_port(path, addr, limit)?;
         Ok(process)
@@ -179,6 +182,15 @@
 /// Ports given out by this process.
 static PORTS: AtomicU16 = AtomicU16::new(0);
 
+/// Held while a socket is open that no child may inherit, and while a child
+/// is forked: it keeps all descriptors until it execs.
+static SOCKETS: Mutex<()> = Mutex::new(());
+
+fn lock_sockets() -> MutexGuard<'static, ()> {
+    // The mutex guards no data that a panic could leave half changed.
+    SOCKETS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A loopback address with a port that was free for TCP and UDP a moment
 /// ago. No port is given out twice by one process, until all have been.
 ///
@@ -188,6 +200,7 @@
 pub fn free_addr() -> io::Result<SocketAddr> {
     // Processes that run at the same time start far from each other.
     let offset = (std::process::id().wrapping_mul(977)) as u16;
+    let _probing = lock_sockets();
     for _ in 0..PORT_COUNT {
         let number = PORTS.fetch_add(1, Ordering::Relaxed);
         let port = PORT_FIRST + offset.wrapping_add(number) % PORT_COUNT;
