Write all answers before a node of a fleet ends

Cause: after its last request had ended, the process waited 60 ms for the writers of its connections and then ended. A writer that had not written its answer by then, because its caller reads slowly or its VM has a tenth of a core, was cut off.

The process now counts answers that are not written and ends once there are none, or 150 ms before the end of the grace period. Ruled out: idle connections, which are closed only while no answer is due.

--- a/crates/node/src/fleet/callers.rs
+++ b/crates/node/src/fleet/callers.rs
@@ -29,7 +29,7 @@
 };
 use crate::fleet::peers::{DOCUMENTS, header, kind_of, load_line};
 use crate::fleet::ports::Asked;
-use crate::fleet::shell::Shell;
+use crate::fleet::shell::{Shell, Unwritten};
 use crate::message::drop_named;
 use crate::run::accept;
 use crate::wire::{
@@ -112,6 +112,7 @@
     due: Due,
     keep: bool,
     is_head: bool,
+    unwritten: Unwritten,
 }
 
 /// A response as it is written.
@@ -225,8 +226,9 @@
         is_head: bool,
     ) {
         self.shared.open.borrow_mut().push_back(ticket);
+        let unwritten = self.shell.unwritten();
         // The writer ends only after the reader or the connection.
-        let _ = self.queue.send(Slot { due, keep, is_head });
+        let _ = self.queue.send(Slot { due, keep, is_head, unwritten });
     }
 
     /// The request for the reducer, or an answer that needs none.
@@ -378,6 +380,7 @@
             }
             self.shared.active.set(clock::since_boot());
             let written = timeout(WRITE_LIMIT, conn.flush()).await;
+            drop(slot.unwritten);
             if !matches!(written, Ok(Ok(()))) || !keep {
                 break;
             }
--- a/crates/node/src/fleet/run.rs
+++ b/crates/node/src/fleet/run.rs
@@ -20,9 +20,16 @@
 use crate::fleet::{callers, control};
 use crate::run::Signals;
 
-/// Time for the last answers to be written.
+/// Time for the last answers to leave the machine once they are written.
 const FLUSH: Duration = Duration::from_millis(60);
 
+/// Interval at which a node that ends looks whether all answers are written.
+const WRITE_LOOK: Duration = Duration::from_millis(5);
+
+/// Time before the end of the grace period at which the process ends with
+/// answers unwritten, in milliseconds.
+const WRITE_SPARE: u64 = 150;
+
 /// Interval at which the settings file is looked at, in milliseconds. It may
 /// change without a signal.
 const LOOK: u64 = 1_000;
@@ -78,17 +85,26 @@
 /// read again after SIGHUP and when they have changed.
 pub async fn until_stopped(shell: &Shell, signals: &Signals, file: &Path) {
     let watcher = Watcher::new(file);
+    let mut asked = None;
     let poll = |shell: &Shell| {
+        let now = clock::since_boot();
         if signals.take() {
+            asked.get_or_insert(now);
             shell.post(Event::Stop);
         }
-        let now = clock::since_boot();
         if let Some(text) = watcher.changed(signals.take_reload(), now) {
             reload(shell, &text);
         }
     };
     shell.run(poll).await;
-    // The last answers are with the writers of their connections.
+    // The last answers are with the writers of their connections, which may
+    // be slow: a VM has as little as a tenth of a core.
+    let grace = shell.settings().bounds.stop_ms();
+    let asked = asked.unwrap_or_else(clock::since_boot);
+    let end = asked.plus(grace.saturating_sub(WRITE_SPARE));
+    while !shell.has_written() && clock::since_boot() < end {
+        monoio::time::sleep(WRITE_LOOK).await;
+    }
     monoio::time::sleep(FLUSH).await;
     slog::info!(shell.notices().logger(), "node has stopped");
 }
--- a/crates/node/src/fleet/shell.rs
+++ b/crates/node/src/fleet/shell.rs
@@ -63,6 +63,7 @@
     next: Cell<u64>,
     requests: RefCell<HashMap<Ticket, Entry>>,
     answers: RefCell<HashMap<Ticket, Sender<Grant>>>,
+    unwritten: Rc<Cell<usize>>,
 }
 
 impl fmt::Debug for Inner {
@@ -71,6 +72,19 @@
     }
 }
 
+/// An answer that has not been written to its connection as a whole; counted
+/// until it is dropped.
+#[derive(Debug)]
+pub struct Unwritten {
+    count: Rc<Cell<usize>>,
+}
+
+impl Drop for Unwritten {
+    fn drop(&mut self) {
+        self.count.set(self.count.get() - 1);
+    }
+}
+
 /// A request that has not ended.
 struct Entry {
     call: Rc<Call>,
@@ -111,6 +125,7 @@
             next: Cell::new(1),
             requests: RefCell::default(),
             answers: RefCell::default(),
+            unwritten: Rc::default(),
         };
         Self { inner: Rc::new(inner) }
     }
@@ -157,6 +172,20 @@
         self.inner.exited.get()
     }
 
+    /// Counts an answer as unwritten while the returned value lives.
+    #[must_use]
+    pub fn unwritten(&self) -> Unwritten {
+        let count = Rc::clone(&self.inner.unwritten);
+        count.set(count.get() + 1);
+        Unwritten { count }
+    }
+
+    /// Whether all answers have been written.
+    #[must_use]
+    pub fn has_written(&self) -> bool {
+        self.inner.unwritten.get() == 0
+    }
+
     /// What a caller may send.
     #[must_use]
     pub fn limits(&self) -> Limits {
