Answer all requests before a node of a fleet ends

Requests that wait for their key's owner, or for a slow upstream, last that long.

Those requests are answered now: 503 if they have not run, 504 otherwise. The test plays both; the first got no answer before.

--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -253,13 +253,16 @@
     }
 
     /// Ends the process once nobody is sent here any more and all requests
-    /// have ended, or the time given is over.
+    /// have ended, or the time given is over: then the others are refused, so
+    /// that no connection ends without an answer.
     fn end(&mut self, now: Millis, out: &mut Vec<Effect>) {
         let Some(since) = self.stop_at else { return };
         let age = now.since(since);
         let limit = self.settings.bounds.stop_ms().saturating_sub(STOP_SPARE);
-        let idle = self.requests.is_empty() && age >= STOP_SERVE;
-        if idle || age >= limit {
+        if age >= limit {
+            self.expire_all(now, out);
+        }
+        if self.requests.is_empty() && age >= STOP_SERVE {
             out.push(Effect::Exit);
         }
     }
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -259,6 +259,15 @@
         self.pump(now, out);
     }
 
+    /// Ends all requests.
+    pub(super) fn expire_all(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let tickets: Vec<Ticket> =
+            self.requests.entries.keys().copied().collect();
+        for ticket in tickets {
+            self.expire(ticket, now, out);
+        }
+    }
+
     fn expire(&mut self, ticket: Ticket, now: Millis, out: &mut Vec<Effect>) {
         let Some(entry) = self.requests.entries.get(&ticket) else { return };
         let sent = match entry.state {
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -80,6 +80,15 @@
     }
 
     fn arrive(&mut self, path: &str, key: Option<u16>) -> Vec<Effect> {
+        self.arrive_within(path, key, 2_000)
+    }
+
+    fn arrive_within(
+        &mut self,
+        path: &str,
+        key: Option<u16>,
+        budget: u64,
+    ) -> Vec<Effect> {
         let ticket = Ticket(self.next);
         self.next += 1;
         self.step(Event::Arrived(Arrival {
@@ -89,7 +98,7 @@
             host: "h".to_owned(),
             path: path.to_owned(),
             key,
-            budget: 2_000,
+            budget,
             fingerprint: Fingerprint(ticket.0),
             order: None,
         }))
@@ -172,7 +181,13 @@
         priority: 1,
         attempts: 2,
     };
+    let slow = Route {
+        prefix: "/slow/".to_owned(),
+        timeout_ms: 10_000,
+        ..route("k", false)
+    };
     let routes = vec![
+        slow,
         route("s", false),
         route("s", true),
         route("k", false),
@@ -441,3 +456,40 @@
     bench.peer_done(2, Ok(200));
     assert!(ends(&bench.step(Event::Tick)));
 }
+
+/// Guards against a stop that closes the connection of a request which has
+/// no answer yet: neither one at an upstream nor one that waits for its key.
+#[test]
+fn a_stop_answers_every_request_before_the_process_ends() {
+    let mut bench = Bench::new();
+    bench.gossip(1, "k");
+    bench.arrive_within("/slow/", Some(3), 10_000);
+    bench.step(Event::Stop);
+    bench.now += 1_700;
+    bench.gossip(1, "k");
+    bench.arrive_within("/slow/", Some(4), 10_000);
+    bench.peer_done(2, refused(Reason::NoOwner));
+    let mut answers = Vec::new();
+    while bench.now < 1_000 + 6_000 {
+        bench.now += 25;
+        let out = bench.step(Event::Tick);
+        for effect in &out {
+            match effect {
+                Effect::Refuse { ticket, refusal } => {
+                    answers.push((*ticket, refusal.verdict));
+                }
+                Effect::Forward { ticket, .. } if ticket.0 == 2 => {
+                    bench.peer_done(2, refused(Reason::NoOwner));
+                }
+                _ => {}
+            }
+        }
+        if out.iter().any(|effect| matches!(effect, Effect::Exit)) {
+            break;
+        }
+    }
+    answers.sort_unstable_by_key(|answer| answer.0);
+    let expected =
+        [(Ticket(1), Verdict::MayHaveRun), (Ticket(2), Verdict::NotRun)];
+    assert_eq!(answers, expected);
+}
