Serve the keys of an upstream while it leaves, and move them in time

Cause: an upstream that said it leaves, and all upstreams of a domain that was taken out, got no requests from that moment on, although the platform allows 2 to 2.5 s and 5 s. Their ranges were then handed to upstreams that took them at their next announcement, up to 1.5 s later, and moves of busy keys waited twice: for the owner's next announcement and for the receiver's.

The node goes on sending requests for its keys for the stated time less 0.5 s (a domain: half of it). Moves are planned when the upstream announces itself, so that the answer leaves the range out at once, and go to upstreams that announce themselves soon after the work on the range has ended.

The test of a leaving upstream now sets no drain time, and a new one checks the end of the stated time: after it nothing is sent.

--- a/crates/core/src/fleet/announce.rs
+++ b/crates/core/src/fleet/announce.rs
@@ -38,9 +38,8 @@
             out.push(Effect::Notice(Notice::UpstreamStarted { id }));
             self.gossip_due = now;
         }
-        if self.host.is_leaving() {
-            self.empty_queue(now, out);
-        }
+        self.empty_queue(now, out);
+        self.plan_moves(now);
         self.reconcile(now, out);
         if self.is_claiming() && self.host.is_ready() {
             self.answer_parked(now, out);
@@ -119,7 +118,7 @@
             return Grant::default();
         }
         let Some(held) = held else { return Grant::default() };
-        let stays = !self.host.is_leaving() && !self.is_out();
+        let stays = self.is_serving(now);
         let mut granted = Vec::new();
         for range in held.table.of(&self.settings.node) {
             if !stays || range.life.as_ref() != self.host.life() {
--- a/crates/core/src/fleet/balance.rs
+++ b/crates/core/src/fleet/balance.rs
@@ -16,6 +16,7 @@
 //!     node: node.to_owned(),
 //!     rate,
 //!     capacity: 50.0,
+//!     open: true,
 //! };
 //! let mut heat = Heat::new(Millis(0));
 //! for key in 0..100 {
@@ -51,6 +52,8 @@
     pub rate: f64,
     /// Requests per second that it can run.
     pub capacity: f64,
+    /// It can receive keys.
+    pub open: bool,
 }
 
 /// Keys that go to another node.
@@ -93,7 +96,7 @@
     let mut excess = own.rate - fair * own.capacity;
     let mut rooms: Vec<(f64, &str)> = members
         .iter()
-        .filter(|m| m.node != node)
+        .filter(|m| m.node != node && m.open)
         .map(|m| (fair * m.capacity * FILL - m.rate, m.node.as_str()))
         .filter(|room| room.0 >= WORTH)
         .collect();
--- a/crates/core/src/fleet/documents.rs
+++ b/crates/core/src/fleet/documents.rs
@@ -309,6 +309,8 @@
             self.host.chill(RETURN_COLD, now);
         }
         self.out = names;
+        self.out_since =
+            self.is_out().then_some(self.out_since.unwrap_or(now));
         out.push(Effect::Notice(Notice::Domains {
             out: self.out.iter().cloned().collect(),
             revision,
--- a/crates/core/src/fleet/exchange.rs
+++ b/crates/core/src/fleet/exchange.rs
@@ -25,7 +25,8 @@
         let left = self.lease.left(now) as u32;
         let lease = (left > 0).then_some((self.lease.revision, left));
         let accepting = self.host.is_ready() && !self.is_out();
-        let life = self.host.life().filter(|_| accepting);
+        let life = self.host.life().filter(|_| self.is_serving(now));
+        let announces = self.announces_in(now);
         let gossip = Gossip {
             node: self.settings.node.clone(),
             incarnation: self.incarnation,
@@ -34,7 +35,8 @@
             domain: self.settings.domain.clone(),
             service: self.settings.service.clone(),
             life: life.cloned(),
-            leaving: self.stop_at.is_some(),
+            leaving: self.stop_at.is_some() || !accepting,
+            announce_ms: announces as u32,
             inflight: self.requests.inflight(),
             slots: self.host.slots(),
             mean_ms: self.requests.mean(now) as u32,
@@ -49,6 +51,13 @@
         out.push(Effect::Send { to, gossip: Box::new(gossip) });
     }
 
+    /// Milliseconds until the upstream's next announcement.
+    pub(super) fn announces_in(&self, now: Millis) -> u64 {
+        let interval = self.settings.bounds.announce_ms();
+        let age = now.since(self.host.announced_at());
+        interval.saturating_sub(age)
+    }
+
     /// Requests per second that the upstream can run.
     pub(super) fn capacity(&self, now: Millis) -> f64 {
         let slots = f64::from(self.host.slots().max(1));
--- a/crates/core/src/fleet/gossip.rs
+++ b/crates/core/src/fleet/gossip.rs
@@ -33,7 +33,7 @@
 pub const DATAGRAM_MAX: usize = 1_200;
 
 /// Version of the encoding, the first byte of a datagram.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// Versions of the documents that a node has.
 #[derive(
@@ -63,10 +63,13 @@
     pub domain: String,
     /// The service of its upstream.
     pub service: String,
-    /// The upstream's present life, if it takes new work.
+    /// The upstream's present life, if it serves.
     pub life: Option<Life>,
-    /// The process is about to stop.
+    /// The process is about to stop, or its upstream takes no new work beside
+    /// requests for the keys that it has.
     pub leaving: bool,
+    /// Milliseconds until the upstream's next announcement.
+    pub announce_ms: u32,
     /// Requests at the upstream or waiting for it.
     pub inflight: u16,
     /// Requests that the upstream runs at once.
@@ -131,6 +134,8 @@
     pub heard: Millis,
     /// Its lease, as it said or as the store showed.
     pub lease: Option<Known>,
+    /// When its upstream announces itself next, as it said.
+    pub announces: Millis,
     /// Requests sent to it since, that have not ended.
     pub sent: u16,
     /// When it last refused or lost a request for lack of a connection.
@@ -165,6 +170,7 @@
         let told = said.lease.map(|(revision, left)| {
             Known::told(revision, u64::from(left), now)
         });
+        let announces = now.plus(u64::from(said.announce_ms));
         let Some(peer) = self.peers.get_mut(&said.node) else {
             let node = said.node.clone();
             let peer = Peer {
@@ -172,6 +178,7 @@
                 said,
                 heard: now,
                 lease: told,
+                announces,
                 sent: 0,
                 broken: None,
             };
@@ -184,6 +191,7 @@
         }
         peer.lease = told.or(peer.lease);
         peer.addr = addr;
+        peer.announces = announces;
         peer.said = said;
         peer.heard = now;
         peer.broken = None;
--- a/crates/core/src/fleet/host.rs
+++ b/crates/core/src/fleet/host.rs
@@ -144,6 +144,8 @@
 pub struct Host {
     life: Option<Life>,
     phase: Phase,
+    /// Since when the present life is known to leave.
+    leaving: Option<Millis>,
     slots: u16,
     sequence: u64,
     seen: Millis,
@@ -166,6 +168,7 @@
         Self {
             life: None,
             phase: Phase::Ready,
+            leaving: None,
             slots: 0,
             sequence: 0,
             seen: now,
@@ -187,6 +190,7 @@
                 // The earlier life has ended: the new one has its address.
                 self.life = Some(said.life.clone());
                 self.phase = Phase::Ready;
+                self.leaving = None;
                 self.granted.clear();
                 self.promises.clear();
                 self.released.clear();
@@ -200,6 +204,9 @@
         if self.phase != Phase::Left {
             self.phase = said.phase;
         }
+        if self.phase != Phase::Ready {
+            self.leaving.get_or_insert(now);
+        }
         self.cold_until = now.plus(said.cold_ms);
         self.confirm(said, now);
         taken
@@ -267,10 +274,13 @@
         }
     }
 
-    /// The upstream said that it is gone.
-    pub fn left(&mut self, id: &str) {
+    /// The upstream said that it is gone. One that did not say before that
+    /// it leaves still serves for a while.
+    pub fn left(&mut self, id: &str, now: Millis) {
         if self.life.as_ref().is_some_and(|life| life.id == id) {
+            self.down |= self.phase == Phase::Draining;
             self.phase = Phase::Left;
+            self.leaving.get_or_insert(now);
         }
     }
 
@@ -336,7 +346,25 @@
     /// Whether requests may be sent.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.life.is_some() && self.phase == Phase::Ready && !self.down
+        self.is_up() && self.phase == Phase::Ready
+    }
+
+    /// Whether the upstream runs, as far as is known.
+    #[must_use]
+    pub fn is_up(&self) -> bool {
+        self.life.is_some() && !self.down
+    }
+
+    /// Since when the upstream is known to leave.
+    #[must_use]
+    pub fn leaving_since(&self) -> Option<Millis> {
+        self.leaving
+    }
+
+    /// When the latest announcement arrived.
+    #[must_use]
+    pub fn announced_at(&self) -> Millis {
+        self.seen
     }
 
     /// Whether the upstream said that it leaves or has left.
--- a/crates/core/src/fleet/moves.rs
+++ b/crates/core/src/fleet/moves.rs
@@ -5,19 +5,22 @@
 //! upstream has released it or its term is over. A move is never taken back:
 //! a conditional update that hands the range over may be performed late.
 
+use std::rc::Rc;
+
 use crate::clock::Millis;
 use crate::fleet::balance::{self, Member, Move};
 use crate::fleet::combine::Give;
 use crate::fleet::reducer::Fleet;
 use crate::fleet::table::{KEY_MAX, Range, Table};
 
-/// Interval at which load is compared, in milliseconds.
-const BALANCE_INTERVAL: u64 = 500;
-
 /// Time after which a node's load shows a range that it got, in
 /// milliseconds; the time constant of the load.
 const SETTLE: u64 = 2_000;
 
+/// Time from the end of the work on a range to when its next owner knows of
+/// it, in milliseconds: an announcement, and an update of the table.
+const HANDOVER_TIME: u64 = 200;
+
 /// Most ranges of one upstream. Each takes up to 50 bytes of an answer to
 /// an announcement, which may have 4 KiB.
 const RANGES_MAX: usize = 56;
@@ -34,7 +37,6 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Moves {
     list: Vec<Move>,
-    balanced: Option<Millis>,
 }
 
 impl Moves {
@@ -143,7 +145,16 @@
         if own.is_empty() {
             return;
         }
-        let targets = self.targets(now);
+        let mut targets = self.targets(now);
+        let timely: Vec<Target> = targets
+            .iter()
+            .filter(|target| self.is_timely(&target.node, now))
+            .cloned()
+            .collect();
+        let room: f64 = timely.iter().map(|target| target.capacity).sum();
+        if room >= self.heat.rate(now) && !timely.is_empty() {
+            targets = timely;
+        }
         let moves = self.divide(&own, &targets);
         self.moves.list.extend(moves);
     }
@@ -157,13 +168,18 @@
         own
     }
 
+    /// Plans moves when the upstream announces itself: the answer leaves out
+    /// what is to move.
+    pub(super) fn plan_moves(&mut self, now: Millis) {
+        let held = self.tables.get(&self.settings.service);
+        let Some(held) = held.filter(|_| self.is_claimed()) else { return };
+        let table = Rc::clone(&held.table);
+        self.drain(&table, now);
+        self.rebalance(&table, now);
+    }
+
     /// Plans moves of load above the fair share.
-    pub(super) fn rebalance(&mut self, table: &Table, now: Millis) {
-        let last = self.moves.balanced.unwrap_or(self.started);
-        if now.since(last) < BALANCE_INTERVAL {
-            return;
-        }
-        self.moves.balanced = Some(now);
+    fn rebalance(&mut self, table: &Table, now: Millis) {
         if !self.moves.list.is_empty() || !self.host.is_ready() {
             return;
         }
@@ -180,11 +196,29 @@
             return;
         }
         let node = self.settings.node.clone();
-        let members = self.members(table, now);
+        let mut members = self.members(table, now);
+        for member in &mut members {
+            member.open &= self.is_timely(&member.node, now);
+        }
         let moves = balance::plan(&node, &members, &held, &self.heat);
         self.moves.list.extend(moves);
     }
 
+    /// Whether another node's upstream announces itself soon after this one
+    /// has released a range that it is told to release now. It takes a range
+    /// only then, and nobody serves it meanwhile.
+    fn is_timely(&self, node: &str, now: Millis) -> bool {
+        let Some(peer) = self.directory.get(node) else { return false };
+        let interval = self.settings.bounds.announce_ms();
+        let work = self.requests.mean(now) as u64;
+        let released = now.plus(work + HANDOVER_TIME);
+        // Announcements come at about the same interval everywhere.
+        let late = released.since(peer.announces) % interval;
+        let wait = if late > 0 { interval - late } else { 0 }
+            + peer.announces.since(released);
+        wait <= interval / 2
+    }
+
     /// Plans to give the least loaded range to the owner of a neighbouring
     /// one, so that the two become one: an answer to an announcement has
     /// room for a limited number of ranges.
@@ -216,6 +250,7 @@
             node: self.settings.node.clone(),
             rate: self.heat.rate(now),
             capacity: self.capacity(now),
+            open: true,
         }];
         for (name, peer) in self.directory.iter() {
             let settled = self
@@ -232,6 +267,7 @@
                 node: name.to_owned(),
                 rate: f64::from(peer.said.rate),
                 capacity: f64::from(peer.said.capacity),
+                open: true,
             });
         }
         members
--- a/crates/core/src/fleet/reconcile.rs
+++ b/crates/core/src/fleet/reconcile.rs
@@ -136,7 +136,6 @@
         let mut gives = Vec::new();
         if self.is_claimed() {
             self.drain(table, now);
-            self.rebalance(table, now);
             gives = self.hand_over(table, now);
         }
         if !claims && gives.is_empty() {
--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -48,6 +48,8 @@
     pub(super) config: Option<Rc<Config>>,
     pub(super) versions: Versions,
     pub(super) out: BTreeSet<String>,
+    /// Since when the own failure domain is known to be out of service.
+    pub(super) out_since: Option<Millis>,
     pub(super) tables: BTreeMap<String, Versioned>,
     pub(super) lease: Lease,
     /// The revision of the record with which the lease was gained; 0 without
@@ -97,6 +99,7 @@
             config: None,
             versions: Versions::default(),
             out: BTreeSet::new(),
+            out_since: None,
             tables: BTreeMap::new(),
             lease: Lease::default(),
             term: 0,
@@ -139,7 +142,7 @@
                 self.announced(ticket, &announcement, now, out);
             }
             Event::Left { id } => {
-                self.host.left(&id);
+                self.host.left(&id, now);
                 out.push(Effect::Notice(Notice::UpstreamLeaving { id }));
                 self.reconcile(now, out);
                 self.empty_queue(now, out);
@@ -308,6 +311,19 @@
         self.pump(now, out);
     }
 
+    /// Whether requests may be sent to the upstream: while it leaves, or its
+    /// failure domain is out of service, only for a time, in which its keys
+    /// are handed over.
+    pub(super) fn is_serving(&self, now: Millis) -> bool {
+        let bounds = &self.settings.bounds;
+        let over = |since: Option<Millis>, span: u64| {
+            since.is_some_and(|since| now.since(since) >= span)
+        };
+        self.host.is_up()
+            && !over(self.host.leaving_since(), bounds.drain_ms())
+            && !over(self.out_since, bounds.evacuate_ms())
+    }
+
     /// Time after which a silent upstream has surely lost its ranges.
     pub(super) fn upstream_gone(&self, now: Millis) -> bool {
         self.host.has_left() || self.host.silence(now) > longest(HOLD)
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -255,6 +255,7 @@
             }
             self.settle(ticket, Err(refusal), now, out);
         }
+        self.empty_queue(now, out);
         self.wake_waiting(now, out);
         self.pump(now, out);
     }
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -43,7 +43,7 @@
             let detail = "the node's upstream has another service";
             return Some(Refusal::new(Reason::NotOwner, detail));
         }
-        if !self.host.is_ready() || self.is_out() || self.is_closing(now) {
+        if !self.is_serving(now) || self.is_closing(now) {
             let detail = "the node's upstream takes no new work";
             let refusal = refuse(Reason::NoOwner, detail, RETRY_UNKNOWN);
             return Some(refusal);
@@ -242,7 +242,7 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        if self.host.is_ready() && !self.is_out() {
+        if self.requests.queue.is_empty() || self.is_serving(now) {
             return;
         }
         let waiting: Vec<Ticket> = self.requests.queue.iter().collect();
--- a/crates/core/src/fleet/settings.rs
+++ b/crates/core/src/fleet/settings.rs
@@ -63,13 +63,50 @@
     pub retry_slack: Option<f64>,
     /// Share of requests that may be repeated, 0 to 1.
     pub retry_share: Option<f64>,
+    /// Time for which an upstream that leaves still takes requests, in
+    /// milliseconds.
+    pub drain_ms: Option<f64>,
+    /// Time within which a failure domain that is taken out of service no
+    /// longer gets requests, in milliseconds.
+    pub evacuate_ms: Option<f64>,
+    /// Interval between two announcements of an upstream, in milliseconds.
+    pub announce_ms: Option<f64>,
 }
 
 /// Time to stop where none is set, in seconds; the shortest that the known
 /// deployments set.
 const STOP_DEFAULT: f64 = 6.0;
 
+/// Interval between announcements where none is set, in milliseconds.
+const ANNOUNCE_DEFAULT: f64 = 1_000.0;
+
+/// Part of the time that an upstream which leaves still takes requests in
+/// which it is sent none: what was sent before must arrive.
+const DRAIN_SPARE: u64 = 500;
+
 impl Bounds {
+    /// Time for which an upstream that leaves is still sent requests for its
+    /// keys, in milliseconds; none if the deployment sets no bound.
+    #[must_use]
+    pub fn drain_ms(&self) -> u64 {
+        let bound = self.drain_ms.unwrap_or(0.0) as u64;
+        bound.saturating_sub(DRAIN_SPARE)
+    }
+
+    /// Time for which upstreams of a domain that is taken out of service are
+    /// still sent requests for their keys, in milliseconds. Half of the bound
+    /// is for the node to learn of it.
+    #[must_use]
+    pub fn evacuate_ms(&self) -> u64 {
+        (self.evacuate_ms.unwrap_or(0.0) / 2.0) as u64
+    }
+
+    /// Interval between two announcements of an upstream, in milliseconds.
+    #[must_use]
+    pub fn announce_ms(&self) -> u64 {
+        self.announce_ms.unwrap_or(ANNOUNCE_DEFAULT).max(1.0) as u64
+    }
+
     /// Time between a stop signal and the end of the process, in
     /// milliseconds.
     #[must_use]
@@ -84,12 +121,15 @@
     }
 
     /// All bounds by name.
-    fn named(&self) -> [(&'static str, Option<f64>); 4] {
+    fn named(&self) -> [(&'static str, Option<f64>); 7] {
         [
             ("stop_s", self.stop_s),
             ("hold_ms", self.hold_ms),
             ("retry_slack", self.retry_slack),
             ("retry_share", self.retry_share),
+            ("drain_ms", self.drain_ms),
+            ("evacuate_ms", self.evacuate_ms),
+            ("announce_ms", self.announce_ms),
         ]
     }
 }
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -11,6 +11,7 @@
 };
 use lagoondyke_core::fleet::gossip::Gossip;
 use lagoondyke_core::fleet::host::{Announcement, Phase};
+use lagoondyke_core::fleet::settings::Settings;
 use lagoondyke_core::fleet::table::{Life, Share, Table};
 use lagoondyke_core::id::{Fingerprint, Ticket};
 use lagoondyke_core::verdict::{Reason, Refusal, Verdict};
@@ -28,7 +29,11 @@
 
 impl Bench {
     fn new() -> Self {
-        let fleet = Fleet::new(settings(0), 1, 7, Millis(1_000));
+        Self::with(settings(0))
+    }
+
+    fn with(settings: Settings) -> Self {
+        let fleet = Fleet::new(settings, 1, 7, Millis(1_000));
         let mut bench = Self { fleet, now: 1_000, next: 1, count: 0 };
         let call = Call::List(Kind::Config);
         let outcome = listed("main", Value::Config(Box::new(config())));
@@ -159,6 +164,11 @@
     }
 }
 
+/// Time for which an upstream that leaves takes requests.
+fn drain_ms() -> u64 {
+    settings(0).bounds.drain_ms.expect("a bound") as u64
+}
+
 fn listed(name: &str, value: Value) -> Stored {
     let name = name.to_owned();
     let items = vec![Item { name, revision: 5, value: Some(value) }];
@@ -312,10 +322,13 @@
     assert!(out.iter().any(|e| matches!(e, Effect::Abort { .. })));
 }
 
-/// Guards against requests for an upstream that said that it leaves.
+/// Guards against requests for an upstream that said that it leaves, where
+/// the deployment states no time for which it goes on.
 #[test]
 fn an_upstream_that_leaves_gets_no_more_requests() {
-    let mut bench = Bench::new();
+    let mut bounded = settings(0);
+    bounded.bounds.drain_ms = None;
+    let mut bench = Bench::with(bounded);
     bench.announce(Phase::Ready, 1);
     assert_eq!(dispatches(&bench.peer_asks(0, 5_000)), 1);
     assert_eq!(dispatches(&bench.peer_asks(0, 5_000)), 0, "queued");
@@ -327,6 +340,26 @@
     assert_eq!(dispatches(&bench.peer_asks(0, 5_000)), 0);
 }
 
+/// Guards against requests later than the stated time after an upstream has
+/// said that it leaves, and against refusals while it still serves.
+#[test]
+fn an_upstream_that_leaves_serves_for_the_stated_time() {
+    let mut bench = Bench::new();
+    bench.announce(Phase::Ready, 1);
+    assert_eq!(dispatches(&bench.peer_asks(0, 9_000)), 1);
+    assert_eq!(dispatches(&bench.peer_asks(0, 9_000)), 0, "queued");
+    let out = bench.announce(Phase::Draining, 1);
+    assert!(refusal(&out).is_none(), "the queue is still served");
+    assert_eq!(dispatches(&bench.run_done(1, Ok(200))), 1);
+    assert_eq!(dispatches(&bench.peer_asks(0, 9_000)), 0, "queued");
+    bench.now += drain_ms();
+    let out = bench.step(Event::Tick);
+    let refusal = refusal(&out).expect("the queue is turned away");
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    assert_eq!(dispatches(&bench.run_done(2, Ok(200))), 0);
+    assert_eq!(dispatches(&bench.peer_asks(0, 9_000)), 0);
+}
+
 /// Guards against more requests to a cold upstream than it bears.
 #[test]
 fn a_cold_upstream_gets_its_stated_rate() {
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -129,6 +129,9 @@
             hold_ms: Some(10_000.0),
             retry_slack: Some(50.0),
             retry_share: Some(0.2),
+            drain_ms: Some(2_000.0),
+            evacuate_ms: Some(5_000.0),
+            announce_ms: Some(BEAT as f64),
         },
         log: LogSettings::default(),
     }
