--- /dev/null
+++ b/crates/core/examples/fleet.rs
@@ -0,0 +1,310 @@
+//! Processor time of a fleet's reducer by event and by number of nodes.
+//!
+//! Run with `cargo run --release --example fleet`.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use lagoondyke_core::clock::Millis;
+use lagoondyke_core::fleet::Fleet;
+use lagoondyke_core::fleet::config::{Config, Route, Service, Target};
+use lagoondyke_core::fleet::effect::Effect;
+use lagoondyke_core::fleet::event::{
+    Arrival, Call, Event, Item, Kind, Order, Outcome, Source, Stored, Value,
+};
+use lagoondyke_core::fleet::gossip::Gossip;
+use lagoondyke_core::fleet::host::{Announcement, Phase};
+use lagoondyke_core::fleet::lease::Record;
+use lagoondyke_core::fleet::settings::{Bounds, Settings};
+use lagoondyke_core::fleet::table::{KEY_MAX, Life, Share, Table};
+use lagoondyke_core::id::{Fingerprint, Ticket};
+use lagoondyke_core::settings::LogSettings;
+
+/// Requests in flight while the events are timed.
+const OPEN: u64 = 60;
+
+/// Events of a kind that are timed.
+const ROUNDS: u64 = 5_000;
+
+/// Ranges of each node.
+const RANGES: usize = 8;
+
+fn settings() -> Settings {
+    let addr = |port: u16| SocketAddr::from(([10, 0, 0, 1], port));
+    Settings {
+        node: "sidecar-0".to_owned(),
+        ip: [10, 0, 0, 1].into(),
+        domain: "d0".to_owned(),
+        service: "k".to_owned(),
+        upstream: addr(1),
+        callers: addr(2),
+        peers: addr(3),
+        health: addr(4),
+        announcements: addr(5),
+        gossip: 6,
+        metrics: 7,
+        store: addr(8),
+        bounds: Bounds {
+            stop_s: Some(6.0),
+            hold_ms: Some(10_000.0),
+            retry_slack: Some(50.0),
+            retry_share: Some(0.2),
+            drain_ms: Some(2_000.0),
+            evacuate_ms: Some(5_000.0),
+            announce_ms: Some(1_000.0),
+        },
+        log: LogSettings::default(),
+    }
+}
+
+fn config() -> Config {
+    let mut config = Config { version: 1, ..Config::default() };
+    let route = |name: &str| Route {
+        name: name.to_owned(),
+        prefix: format!("/{name}/"),
+        targets: vec![Target { service: name.to_owned(), weight: 1.0 }],
+        timeout_ms: 60_000,
+        objective_ms: 60_000,
+        attempts: 2,
+        ..Route::default()
+    };
+    for (name, keyed) in [("k", true), ("u", false)] {
+        let service = Service { keyed, ..Service::default() };
+        config.services.insert(name.to_owned(), service);
+    }
+    let routes = vec![route("k"), route("u")];
+    config.hosts.insert("h".to_owned(), routes);
+    config
+}
+
+struct World {
+    fleet: Fleet,
+    now: u64,
+    next: u64,
+    count: u64,
+    nodes: usize,
+    revision: u64,
+    /// A key of another node.
+    key: u16,
+}
+
+impl World {
+    /// A node that owns its keys, with `nodes` peers; a fourth of them have
+    /// an upstream of a service without keys.
+    fn new(nodes: usize) -> Self {
+        let fleet = Fleet::new(settings(), 1, 7, Millis(1_000));
+        let mut world = Self {
+            fleet,
+            now: 1_000,
+            next: 1,
+            count: 0,
+            nodes,
+            revision: 9,
+            key: 0,
+        };
+        let config = Value::Config(Box::new(config()));
+        world.listed(Kind::Config, "main", config);
+        let table = world.table();
+        let other = table.of("sidecar-1").next().expect("a range");
+        world.key = other.first;
+        world.listed(Kind::Tables, "k", Value::Table(table));
+        for node in 1..=nodes {
+            world.gossip(node);
+        }
+        world.step(Event::Tick);
+        let record = Record { incarnation: 1, ..Record::default() };
+        for (call, revision) in [(Call::Recall, 1), (Call::Renew, 2)] {
+            let name = "sidecar-0".to_owned();
+            let value = Some(Value::Node(record.clone()));
+            let outcome = Stored::Done(Item { name, revision, value });
+            world.step(Event::Stored { call, outcome });
+        }
+        world.announce();
+        world
+    }
+
+    fn step(&mut self, event: Event) -> Vec<Effect> {
+        let mut out = Vec::new();
+        self.fleet.step(event, Millis(self.now), &mut out);
+        out
+    }
+
+    fn listed(&mut self, kind: Kind, name: &str, value: Value) {
+        let name = name.to_owned();
+        let items = vec![Item { name, revision: 5, value: Some(value) }];
+        let outcome = Stored::Listed { items, revision: 5 };
+        self.step(Event::Stored { call: Call::List(kind), outcome });
+    }
+
+    fn life(node: usize) -> Life {
+        Life { id: format!("i-{node}"), born: 1 }
+    }
+
+    fn table(&self) -> Table {
+        let name = |node| format!("sidecar-{node}");
+        let share = |node| Share { node: name(node), slots: 12 };
+        let keyed = |node: &usize| node % 4 != 3;
+        let owners: Vec<usize> = (0..=self.nodes).filter(keyed).collect();
+        let shares: Vec<Share> = owners.iter().map(|&n| share(n)).collect();
+        let mut table = Table::even(&shares);
+        let pieces = owners.len() * RANGES;
+        for piece in 0..pieces {
+            let node = owners[piece % owners.len()];
+            let bound = |piece| usize::from(KEY_MAX) * piece / pieces;
+            let keys = (bound(piece) as u16, bound(piece + 1) as u16);
+            let fence = table.fence + 1;
+            let life = Self::life(node);
+            table.give(keys, fence, &name(node), Some(&life), None);
+        }
+        table.claims.insert("sidecar-0".to_owned(), 2);
+        table
+    }
+
+    fn gossip(&mut self, node: usize) {
+        self.count += 1;
+        let keyed = node % 4 != 3;
+        let gossip = Gossip {
+            node: format!("sidecar-{node}"),
+            count: self.count,
+            peer_port: 3,
+            domain: format!("d{}", node % 4),
+            service: if keyed { "k" } else { "u" }.to_owned(),
+            life: Some(Self::life(node)),
+            slots: 12,
+            mean_ms: 100,
+            good: 1_000,
+            rate: 10.0,
+            capacity: 50.0,
+            lease: Some((3, 5_000)),
+            ..Gossip::default()
+        };
+        let from = SocketAddr::from(([10, 0, 1, node as u8], 6));
+        let bytes = gossip.encode().expect("a datagram");
+        let gossip = Box::new(Gossip::decode(&bytes).expect("a datagram"));
+        self.step(Event::Heard { from, gossip });
+    }
+
+    fn announce(&mut self) {
+        self.count += 1;
+        let announcement = Box::new(Announcement {
+            life: Self::life(0),
+            service: "k".to_owned(),
+            address: settings().upstream.to_string(),
+            slots: 1_000,
+            phase: Phase::Ready,
+            sequence: self.count,
+            ..Announcement::default()
+        });
+        let ticket = Ticket(1 << 40 | self.count);
+        self.step(Event::Announced { ticket, announcement });
+    }
+
+    fn caller(&mut self, path: &str) -> Ticket {
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        self.step(Event::Arrived(Arrival {
+            ticket,
+            source: Source::Caller,
+            id: format!("{:016x}", ticket.0),
+            host: "h".to_owned(),
+            path: path.to_owned(),
+            key: Some(self.key),
+            budget: 60_000,
+            fingerprint: Fingerprint(ticket.0),
+            order: None,
+        }));
+        ticket
+    }
+
+    fn peer(&mut self) -> Ticket {
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        self.step(Event::Arrived(Arrival {
+            ticket,
+            source: Source::Peer,
+            id: format!("{:016x}", ticket.0),
+            host: "h".to_owned(),
+            path: "/k/".to_owned(),
+            key: Some(1),
+            budget: 60_000,
+            fingerprint: Fingerprint(ticket.0),
+            order: Some(Order {
+                service: "k".to_owned(),
+                key: Some(1),
+                priority: 1,
+                idempotent: true,
+                budget: 60_000,
+                objective: 60_000,
+                origin: "u".to_owned(),
+            }),
+        }));
+        ticket
+    }
+
+    fn done(&mut self, ticket: Ticket, peer: bool) {
+        let outcome = Outcome { result: Ok(200), load: None, cold_ms: None };
+        self.step(if peer {
+            Event::PeerDone { ticket, outcome }
+        } else {
+            Event::UpstreamDone { ticket, outcome }
+        });
+    }
+
+    /// A changed table arrives.
+    fn table_changed(&mut self, text: &str) {
+        self.revision += 1;
+        let table = serde_json::from_str(text).expect("a table");
+        let value = Some(Value::Table(table));
+        let (name, revision) = ("k".to_owned(), self.revision);
+        let items = vec![Item { name, revision, value }];
+        let outcome = Stored::Changed { items, revision };
+        let call = Call::Watch(Kind::Tables);
+        self.step(Event::Stored { call, outcome });
+    }
+}
+
+/// Microseconds that each of `rounds` calls takes on average.
+fn time(rounds: u64, mut call: impl FnMut(u64)) -> f64 {
+    let start = Instant::now();
+    for round in 0..rounds {
+        call(round);
+    }
+    start.elapsed().as_secs_f64() * 1e6 / rounds as f64
+}
+
+fn main() {
+    println!(
+        "{:>6} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}",
+        "nodes", "tick", "gossip", "caller", "any", "owner", "table"
+    );
+    for nodes in [10, 40, 80, 160] {
+        let mut world = World::new(nodes);
+        for _ in 0..OPEN {
+            world.caller("/u/");
+            world.peer();
+        }
+        let tick = time(ROUNDS, |_| {
+            world.now += 1;
+            world.step(Event::Tick);
+        });
+        let gossip = time(ROUNDS, |n| world.gossip(1 + n as usize % nodes));
+        let caller = time(ROUNDS, |_| {
+            let ticket = world.caller("/k/");
+            world.done(ticket, true);
+        });
+        let any = time(ROUNDS, |_| {
+            let ticket = world.caller("/u/");
+            world.done(ticket, true);
+        });
+        let owner = time(ROUNDS, |_| {
+            let ticket = world.peer();
+            world.done(ticket, false);
+        });
+        let text = serde_json::to_string(&world.table()).expect("json");
+        let table = time(ROUNDS / 10, |_| world.table_changed(&text));
+        println!(
+            "{nodes:>6} {tick:>8.2} {gossip:>8.2} {caller:>8.2} {any:>8.2} \
+             {owner:>8.2} {table:>8.2}"
+        );
+    }
+}
