Call a store that does not answer less and less often

Cause: refused calls are priced as well.

Pauses double up to 1 s (renewals) and 2 s (feeds); the first call that succeeds ends them. A watch that is cut off goes on from the revision that is known, without a list, and one that has seen a change of the configuration or the domains waits 300 ms for further ones.

--- a/crates/core/src/fleet/documents.rs
+++ b/crates/core/src/fleet/documents.rs
@@ -16,9 +16,19 @@
 /// watch has missed, so it need not be short.
 const WATCH_WAIT: u64 = 25_000;
 
-/// Pause after a failed call to the store, in milliseconds.
+/// Pause after a failed call to the store, in milliseconds. It doubles with
+/// each further failure: refused calls are priced as well.
 const STORE_RETRY: u64 = 250;
 
+/// Pause after a change of the configuration or of the domains before the
+/// next one is waited for, in milliseconds: changes in quick succession cost
+/// one call together, and are in force within a fraction of their bound.
+const CHANGE_PAUSE: u64 = 300;
+
+/// Most doublings of the pause. A call that succeeds ends it for all feeds,
+/// and the lease is renewed more often.
+const STORE_RETRY_DOUBLINGS: u32 = 3;
+
 /// Interval between lists of the nodes' records, in milliseconds. They only
 /// show addresses of nodes that have not been heard.
 const NODES_INTERVAL: u64 = 10_000;
@@ -44,6 +54,8 @@
     /// A list has been sent since this was set.
     pub(super) fresh: bool,
     pub(super) retry: Millis,
+    /// Calls that failed in a row.
+    pub(super) failures: u32,
     /// A peer knows a later version since then.
     pub(super) behind: Option<Millis>,
 }
@@ -57,9 +69,16 @@
             watching: false,
             fresh: true,
             retry: now,
+            failures: 0,
             behind: None,
         }
     }
+
+    fn failed(&mut self, now: Millis) {
+        let doublings = self.failures.min(STORE_RETRY_DOUBLINGS);
+        self.retry = now.plus(STORE_RETRY << doublings);
+        self.failures += 1;
+    }
 }
 
 /// A table and its revision.
@@ -113,6 +132,9 @@
         let up = !matches!(outcome, Stored::Unavailable | Stored::Unknown);
         if up != self.store_up {
             self.store_up = up;
+            for feed in self.feeds.iter_mut().filter(|_| up) {
+                (feed.retry, feed.failures) = (now, 0);
+            }
             out.push(Effect::Notice(Notice::Store { up }));
         }
         match call {
@@ -142,9 +164,10 @@
         feed.listing = false;
         let Stored::Listed { items, revision } = outcome else {
             feed.fresh = false;
-            feed.retry = now.plus(STORE_RETRY);
+            feed.failed(now);
             return;
         };
+        feed.failures = 0;
         feed.known = Some(feed.known.unwrap_or(0).max(revision));
         if kind == Kind::Domains {
             let names = items.into_iter().map(|item| item.name).collect();
@@ -168,14 +191,22 @@
         feed.watching = false;
         match outcome {
             Stored::Changed { items, revision } => {
+                feed.failures = 0;
                 feed.known = Some(feed.known.unwrap_or(0).max(revision));
+                if kind != Kind::Tables && !items.is_empty() {
+                    feed.retry = now.plus(CHANGE_PAUSE);
+                }
                 self.apply(kind, items, revision, now, out);
             }
             Stored::Compacted => feed.known = None,
             _ => {
-                // Events may have been missed: a list shows them.
-                feed.known = None;
-                feed.retry = now.plus(STORE_RETRY);
+                // A watch may be cut off at any time and goes on from the
+                // revision that is known. If that fails as well, a list may
+                // still be had.
+                if feed.failures > 0 {
+                    feed.known = None;
+                }
+                feed.failed(now);
             }
         }
     }
--- a/crates/core/src/fleet/lease.rs
+++ b/crates/core/src/fleet/lease.rs
@@ -31,9 +31,14 @@
 /// priced, so it is as long as the term allows with two tries to spare.
 pub const RENEWAL: u64 = 1_500;
 
-/// Pause before a failed renewal is tried again, in milliseconds.
+/// Pause before a failed renewal is tried again, in milliseconds. It doubles
+/// with each further failure.
 pub const RENEWAL_RETRY: u64 = 300;
 
+/// Longest such pause, in milliseconds: after an outage of the store a node
+/// has its lease back within two seconds.
+pub const RENEWAL_RETRY_MAX: u64 = 1_000;
+
 /// Longest relative error of a clock, in per mille; the platform states 2 %.
 pub const CLOCK_ERROR: u64 = 20;
 
--- a/crates/core/src/fleet/renewal.rs
+++ b/crates/core/src/fleet/renewal.rs
@@ -3,7 +3,7 @@
 use crate::clock::Millis;
 use crate::fleet::effect::{Effect, Notice, Op};
 use crate::fleet::event::{Call, Item, Kind, Stored, Value};
-use crate::fleet::lease::{RENEWAL, RENEWAL_RETRY, Record};
+use crate::fleet::lease::{RENEWAL, RENEWAL_RETRY, RENEWAL_RETRY_MAX, Record};
 use crate::fleet::reducer::Fleet;
 
 /// The renewal of the lease.
@@ -12,6 +12,8 @@
     pub(super) pending: bool,
     pub(super) sent: Millis,
     pub(super) due: Millis,
+    /// Calls that failed in a row.
+    pub(super) failures: u32,
     /// The record in the store has been read or written by this process.
     pub(super) known: bool,
 }
@@ -51,6 +53,7 @@
     ) {
         self.renewal.pending = false;
         self.renewal.due = now;
+        let failures = std::mem::take(&mut self.renewal.failures);
         match outcome {
             Stored::Done(item) => self.recorded(&item, now, out),
             Stored::Conflict(Some(item)) => {
@@ -66,7 +69,11 @@
                 }
                 self.renewal.known = true;
             }
-            _ => self.renewal.due = now.plus(RENEWAL_RETRY),
+            _ => {
+                let pause = RENEWAL_RETRY << failures.min(8);
+                self.renewal.due = now.plus(pause.min(RENEWAL_RETRY_MAX));
+                self.renewal.failures = failures + 1;
+            }
         }
     }
 
--- a/crates/core/tests/fleet/ownership.rs
+++ b/crates/core/tests/fleet/ownership.rs
@@ -118,6 +118,22 @@
     sound(&world);
 }
 
+/// Guards against calls that are repeated without end while the store is
+/// down: refused ones are priced as well, and were half of a day's calls.
+#[test]
+fn an_outage_of_the_store_is_not_met_with_calls() {
+    let mut world = settled(5, 4);
+    world.trouble = Trouble { down: true, ..Trouble::default() };
+    world.calls = 0;
+    world.run(8_000);
+    // Renewals in pauses of at most a second, and the feeds twice as rarely.
+    assert!(world.calls <= 5 * 8 * 3, "{} calls", world.calls);
+    world.trouble = Trouble::default();
+    world.run(2_000);
+    assert!(world.held() > 0.999, "held {}", world.held());
+    sound(&world);
+}
+
 /// Guards against keys that stay with an upstream that leaves.
 #[test]
 fn an_upstream_that_drains_gives_up_its_keys() {
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -102,6 +102,8 @@
     tickets: BTreeMap<(usize, Ticket), (u64, u64)>,
     random: Pcg64Mcg,
     fences: BTreeMap<u16, (u64, usize, u64)>,
+    /// Calls to the store.
+    pub calls: u32,
     /// Updates of the table that took effect, and that met another one.
     pub updates: (u32, u32),
     /// Broken promises, in words.
@@ -159,6 +161,7 @@
             tickets: BTreeMap::new(),
             random: Pcg64Mcg::seed_from_u64(seed),
             fences: BTreeMap::new(),
+            calls: 0,
             updates: (0, 0),
             faults: Vec::new(),
         };
@@ -385,6 +388,7 @@
     }
 
     fn call(&mut self, index: usize, call: Call, op: Op) {
+        self.calls += 1;
         let life = self.nodes[index].life;
         let node = &self.nodes[index];
         if self.trouble.down || node.barred || !node.linked {
