Serve requests that can be in time before late ones

A queue in the order of deadlines serves a request that is already late, such as one that comes back after a refusal, before one that is not, so that a short burst makes all of them late; and a request that could no longer be in time was refused even where an idle moment would have served it.

The queue has two parts: what can still be answered within its objective, and the rest, which gets what room is left, for at most half of its time. An ingress takes a caller that leaves far less time than others of its route to come back, and counts its objective from its first attempt.

--- a/crates/core/src/fleet/queue.rs
+++ b/crates/core/src/fleet/queue.rs
@@ -1,76 +1,130 @@
 //! Requests that wait for a slot of the upstream.
 //!
 //! Load: more work arrives than the upstream runs at once. Urgent requests
-//! go first, and of equally urgent ones that with the earliest deadline. A
-//! request that is not likely to end within its objective is refused when it
-//! arrives, so that its caller can go elsewhere or come back, and the others
-//! are not late.
+//! go first. Of equally urgent ones those go first that can still be
+//! answered within their objective; in order of the earliest deadline, a
+//! burst would make all of them late. A request that can no longer be
+//! answered in time takes what room is left.
 //!
 //! # Example
 //!
 //! ```
 //! use lagoondyke_core::clock::Millis;
-//! use lagoondyke_core::fleet::queue::Queue;
+//! use lagoondyke_core::fleet::queue::{Queue, Waiting};
 //! use lagoondyke_core::id::Ticket;
 //!
+//! let request = |ticket, priority, objective| Waiting {
+//!     ticket: Ticket(ticket),
+//!     priority,
+//!     objective: Millis(objective),
+//!     deadline: Millis(2_000),
+//! };
 //! let mut queue = Queue::default();
-//! queue.push(Ticket(1), 1, Millis(500));
-//! queue.push(Ticket(2), 0, Millis(900));
-//! queue.push(Ticket(3), 1, Millis(400));
-//! assert_eq!(queue.ahead(1), 3);
-//! assert_eq!(queue.ahead(0), 1);
-//! let order: Vec<u64> =
-//!     std::iter::from_fn(|| queue.pop()).map(|ticket| ticket.0).collect();
-//! assert_eq!(order, [2, 3, 1]);
+//! queue.push(request(1, 1, 100));
+//! queue.push(request(2, 1, 600));
+//! queue.push(request(3, 0, 900));
+//! queue.push(request(4, 1, 500));
+//! let (now, time) = (Millis(0), 200);
+//! let order: Vec<u64> = std::iter::from_fn(|| queue.pop(now, time))
+//!     .map(|ticket| ticket.0)
+//!     .collect();
+//! assert_eq!(order, [3, 4, 2, 1]);
 //! ```
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::clock::Millis;
 use crate::id::Ticket;
 
-/// Waiting requests by rank and deadline.
+/// A request that waits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Waiting {
+    /// The request.
+    pub ticket: Ticket,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Until when an answer has its full value.
+    pub objective: Millis,
+    /// Until when an answer is of use.
+    pub deadline: Millis,
+}
+
+/// Waiting requests.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
-    order: BTreeSet<(u8, Millis, Ticket)>,
+    /// Those that may still be answered within their objective, by rank and
+    /// objective, with their deadlines.
+    timely: BTreeMap<(u8, Millis, Ticket), Millis>,
+    /// The others, by rank and deadline.
+    late: BTreeSet<(u8, Millis, Ticket)>,
 }
 
 impl Queue {
     /// Adds a request.
-    pub fn push(&mut self, ticket: Ticket, priority: u8, deadline: Millis) {
-        self.order.insert((priority, deadline, ticket));
+    pub fn push(&mut self, request: Waiting) {
+        let Waiting { ticket, priority, objective, deadline } = request;
+        self.timely.insert((priority, objective, ticket), deadline);
+    }
+
+    /// Takes the request that goes next, where one takes `time` ms to run.
+    pub fn pop(&mut self, now: Millis, time: u64) -> Option<Ticket> {
+        self.sort_out(now, time);
+        let timely = self.timely.first_key_value().map(|entry| entry.0.0);
+        let late = self.late.first().map(|entry| entry.0);
+        match (timely, late) {
+            (Some(timely), late) if late.is_none_or(|late| timely <= late) => {
+                self.timely.pop_first().map(|entry| entry.0.2)
+            }
+            _ => self.late.pop_first().map(|entry| entry.2),
+        }
     }
 
-    /// Takes the request that goes next.
-    pub fn pop(&mut self) -> Option<Ticket> {
-        self.order.pop_first().map(|entry| entry.2)
+    /// Puts requests that can no longer be answered in time behind the
+    /// others.
+    pub fn sort_out(&mut self, now: Millis, time: u64) {
+        let end = now.plus(time);
+        let late = &mut self.late;
+        self.timely.retain(|&(priority, objective, ticket), &mut deadline| {
+            let timely = objective >= end;
+            if !timely {
+                late.insert((priority, deadline, ticket));
+            }
+            timely
+        });
     }
 
     /// Removes a request.
     pub fn remove(&mut self, ticket: Ticket) {
-        self.order.retain(|entry| entry.2 != ticket);
+        self.timely.retain(|entry, _| entry.2 != ticket);
+        self.late.retain(|entry| entry.2 != ticket);
     }
 
     /// Requests that go before a new one of this rank.
     #[must_use]
-    pub fn ahead(&self, priority: u8) -> usize {
-        self.order.iter().take_while(|entry| entry.0 <= priority).count()
+    pub fn ahead(&self, priority: u8, timely: bool) -> usize {
+        let keys = self.timely.keys();
+        let before = keys.take_while(|entry| entry.0 <= priority).count();
+        let goes_before =
+            |rank: u8| rank < priority || rank == priority && !timely;
+        let late = self.late.iter().take_while(|entry| goes_before(entry.0));
+        before + late.count()
     }
 
-    /// Waiting requests, the next one first.
+    /// Waiting requests.
     pub fn iter(&self) -> impl Iterator<Item = Ticket> {
-        self.order.iter().map(|entry| entry.2)
+        let timely = self.timely.keys().map(|entry| entry.2);
+        timely.chain(self.late.iter().map(|entry| entry.2))
     }
 
     /// How many wait.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.order.len()
+        self.timely.len() + self.late.len()
     }
 
     /// Whether none waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.order.is_empty()
+        self.timely.is_empty() && self.late.is_empty()
     }
 }
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -38,6 +38,15 @@
 /// Weight of the latest answer in the share of good ones.
 const GOOD_WEIGHT: f64 = 0.06;
 
+/// Share of the longest time that callers of a route leave, below which a
+/// request is taken to come back after a refusal. Callers' own times differ
+/// by up to a sixth.
+const RETURN_SHARE: f64 = 0.82;
+
+/// Weight of the latest request in that longest time if it leaves less, so
+/// that a few patient callers are forgotten.
+const LONGEST_WEIGHT: f64 = 0.002;
+
 /// Part of the allowed share of repeats that is used, in percent. Repeated
 /// requests make calls, which count as repeats as well.
 const RETRY_PART: f64 = 50.0;
@@ -84,6 +93,8 @@
     /// Nodes that refused it, and the one that it was sent to last.
     tried: Vec<String>,
     state: State,
+    /// Until when it waits for a slot.
+    hold: Millis,
     /// When it first had to wait for its key's owner.
     waited: Option<Millis>,
     /// When it looks for the owner again.
@@ -109,6 +120,9 @@
     suspects: Suspects,
     /// Weighted parts of routes: what each is owed.
     parts: HashMap<String, Vec<f64>>,
+    /// The longest time that callers of each route leave for an answer, in
+    /// milliseconds.
+    longest: HashMap<String, f64>,
 }
 
 impl Requests {
@@ -126,6 +140,7 @@
             retries: Budget::new(percent as u32, burst as u32),
             suspects: Suspects::new(),
             parts: HashMap::new(),
+            longest: HashMap::new(),
         }
     }
 
@@ -185,6 +200,19 @@
         self.good += GOOD_WEIGHT * (good - self.good);
     }
 
+    /// Whether a request with `budget` ms left comes back after a refusal:
+    /// other callers of the route leave far more time.
+    fn is_return(&mut self, route: &Route, budget: u64) -> bool {
+        let budget = budget as f64;
+        let Some(longest) = self.longest.get_mut(&route.name) else {
+            self.longest.insert(route.name.clone(), budget);
+            return false;
+        };
+        *longest -= LONGEST_WEIGHT * (*longest - budget);
+        *longest = longest.max(budget);
+        budget < *longest * RETURN_SHARE
+    }
+
     /// The part of a route that is next in turn, so that each gets its share
     /// of any stretch of requests.
     fn part<'a>(&mut self, route: &'a Route) -> Option<&'a str> {
@@ -230,7 +258,8 @@
         for (&ticket, entry) in &self.requests.entries {
             let queued = entry.state == State::Queued;
             let needed = if queued { least } else { 0 };
-            if entry.deadline.since(now) <= needed {
+            let held = queued && now >= entry.hold;
+            if held || entry.deadline.since(now) <= needed {
                 over.push(ticket);
                 continue;
             }
--- a/crates/core/src/fleet/request/ingress.rs
+++ b/crates/core/src/fleet/request/ingress.rs
@@ -90,13 +90,16 @@
             return Err(Refusal::new(Reason::NoOwner, detail));
         }
         let time = arrival.budget.min(route.timeout_ms + TIMEOUT_GRACE);
+        // The objective counts from the caller's first attempt.
+        let returns = self.requests.is_return(route, arrival.budget);
+        let objective = if returns { 0 } else { route.objective_ms };
         let order = Order {
             service: service.to_owned(),
             key: arrival.key.filter(|_| keyed),
             priority: route.priority,
             idempotent: route.idempotent,
             budget: time,
-            objective: route.objective_ms.min(time),
+            objective: objective.min(time),
             origin: self.settings.service.clone(),
         };
         Ok(Entry {
@@ -110,6 +113,7 @@
             exposed: false,
             tried: Vec::new(),
             state: State::Waiting,
+            hold: now,
             waited: None,
             retry: now,
             failures: 0,
@@ -141,6 +145,7 @@
             exposed: false,
             tried: Vec::new(),
             state: State::Waiting,
+            hold: now,
             waited: None,
             retry: now,
             failures: 0,
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -5,11 +5,21 @@
 };
 use crate::clock::Millis;
 use crate::fleet::effect::Effect;
-use crate::fleet::event::{Outcome, Source};
+use crate::fleet::event::{Order, Outcome, Source};
+use crate::fleet::queue::Waiting;
 use crate::fleet::reducer::Fleet;
 use crate::id::Ticket;
 use crate::verdict::{Reason, Refusal, Verdict};
 
+/// Part of the time left for which a request waits for a slot. The rest is
+/// for its caller to try again.
+const LATE_HOLD: f64 = 0.5;
+
+/// How much longer than its place in the queue says a request waits that can
+/// no longer be answered within its objective: later ones that can be go
+/// before it.
+const LATE_CROWD: f64 = 3.0;
+
 impl Fleet {
     /// Takes a request for this node's upstream.
     pub(super) fn own(
@@ -79,10 +89,11 @@
         self.refused_at(ticket, node, refusal, now, out);
     }
 
-    /// Sends a request to the upstream, queues it, or refuses it if it is
-    /// not likely to end within its objective. Under overload the upstream
-    /// runs as many requests either way; with a long queue all of them would
-    /// be late.
+    /// Sends a request to the upstream, queues it, or refuses it. One that
+    /// is likely to end within its objective waits for that. One that is not
+    /// waits only if there is room beside those: under overload the upstream
+    /// runs as many requests either way, and with a long queue all of them
+    /// would be late.
     pub(super) fn admit(
         &mut self,
         ticket: Ticket,
@@ -92,34 +103,43 @@
         let slots = usize::from(self.host.slots().max(1));
         let cold = self.host.is_cold(now);
         let mean = self.requests.mean(now);
+        let rate = self.warmup_rate();
         let requests = &mut self.requests;
+        requests.queue.sort_out(now, mean as u64);
         let Some(entry) = requests.entries.get_mut(&ticket) else { return };
-        let priority = entry.order.priority;
-        let ahead = requests.queue.ahead(priority);
-        let busy = requests.running >= slots || ahead > 0 || cold;
-        let mut wait = 0.0;
-        if busy {
-            let place = (ahead + 1) as f64;
-            wait = place * mean / slots as f64;
-            if cold {
-                let rate = self.warmup_rate();
-                wait = wait.max(place * 1_000.0 / rate);
+        let Order { priority, objective, .. } = entry.order;
+        let queue = &requests.queue;
+        let busy = requests.running >= slots
+            || queue.ahead(priority, false) > 0
+            || cold;
+        let wait = |timely: bool| {
+            if !busy {
+                return 0.0;
             }
-        }
-        let requests = &mut self.requests;
-        let Some(entry) = requests.entries.get_mut(&ticket) else { return };
+            let place = (queue.ahead(priority, timely) + 1) as f64;
+            let wait = place * mean / slots as f64;
+            if cold { wait.max(place * 1_000.0 / rate) } else { wait }
+        };
         let left = entry.deadline.since(now);
         let age = now.since(entry.arrived);
-        let goal = entry.order.objective.saturating_sub(age).min(left);
-        if busy && wait + mean > goal as f64 {
+        let goal = objective.saturating_sub(age).min(left);
+        let timely = wait(true) + mean <= goal as f64;
+        let hold = left as f64 * LATE_HOLD;
+        let late = wait(false) * LATE_CROWD + mean <= hold;
+        if busy && !timely && !late {
             let detail = "the upstream has no room in time";
-            let time = wait.max(mean / 2.0) as u64;
+            let time = wait(true).max(mean / 2.0) as u64;
             let refusal = refuse(Reason::Overloaded, detail, time);
             return self.turn_away(ticket, refusal, now, out);
         }
         entry.state = State::Queued;
-        let deadline = entry.deadline;
-        requests.queue.push(ticket, priority, deadline);
+        entry.hold = now.plus(hold as u64);
+        requests.queue.push(Waiting {
+            ticket,
+            priority,
+            objective: now.plus(goal),
+            deadline: entry.deadline,
+        });
         self.pump(now, out);
     }
 
@@ -132,6 +152,7 @@
         let slots = usize::from(self.host.slots().max(1));
         let cold = self.host.is_cold(now);
         let rate = self.warmup_rate();
+        let time = self.requests.mean as u64;
         while self.requests.running < slots && !self.requests.queue.is_empty()
         {
             if cold && !self.requests.window.take(rate, now) {
@@ -140,7 +161,9 @@
             if !cold {
                 self.requests.window.note(now);
             }
-            let Some(ticket) = self.requests.queue.pop() else { return };
+            let Some(ticket) = self.requests.queue.pop(now, time) else {
+                return;
+            };
             self.dispatch(ticket, now, out);
         }
     }
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -526,3 +526,64 @@
         [(Ticket(1), Verdict::MayHaveRun), (Ticket(2), Verdict::NotRun)];
     assert_eq!(answers, expected);
 }
+
+fn dispatched(out: &[Effect]) -> Option<Ticket> {
+    out.iter().find_map(|effect| match effect {
+        Effect::Dispatch { ticket, .. } => Some(*ticket),
+        _ => None,
+    })
+}
+
+/// Guards against a burst that makes all requests late: in the order of
+/// deadlines, one that is late already goes before those that are not.
+#[test]
+fn requests_that_can_be_in_time_go_before_late_ones() {
+    let mut bench = Bench::new();
+    bench.announce(Phase::Ready, 1);
+    assert!(dispatched(&bench.peer_asks(1, 5_000)).is_some());
+    bench.peer_asks_within(1, 4_000, 0);
+    bench.peer_asks_within(1, 5_000, 2_000);
+    let out = bench.run_done(1, Ok(200));
+    assert_eq!(dispatched(&out), Some(Ticket(3)), "in time");
+    let out = bench.run_done(3, Ok(200));
+    assert_eq!(dispatched(&out), Some(Ticket(2)), "late, but not refused");
+}
+
+/// Guards against late requests that wait for most of their time and are
+/// refused in the end.
+#[test]
+fn late_requests_are_refused_at_once_without_room() {
+    let mut bench = Bench::new();
+    bench.announce(Phase::Ready, 1);
+    bench.peer_asks(1, 5_000);
+    let mut refused = 0;
+    for _ in 0..10 {
+        let out = bench.peer_asks_within(1, 2_000, 0);
+        refused += usize::from(refusal(&out).is_some());
+    }
+    assert!((5..10).contains(&refused), "{refused} of 10 are refused at once");
+    bench.now += 1_000;
+    let out = bench.step(Event::Tick);
+    let held = out.iter().filter(|e| matches!(e, Effect::Refuse { .. }));
+    assert_eq!(held.count(), 10 - refused, "half of the time is over");
+}
+
+/// Guards against a caller that comes back after a refusal and is treated as
+/// if its objective began anew: its answer is late in any case.
+#[test]
+fn the_objective_counts_from_the_callers_first_attempt() {
+    let mut bench = Bench::new();
+    bench.gossip(1, "k");
+    let mut objective = |budget| {
+        let out = bench.arrive_within("/k/", Some(3), budget);
+        out.iter().find_map(|effect| match effect {
+            Effect::Forward { order, .. } => Some(order.objective),
+            _ => None,
+        })
+    };
+    for budget in [2_000, 1_700, 1_900] {
+        assert_eq!(objective(budget), Some(500), "a first attempt");
+    }
+    assert_eq!(objective(1_200), Some(0), "a second one");
+    assert_eq!(objective(1_800), Some(500), "another caller");
+}
