Have a peer renew the lease of a node that the store turns away

Cause: the store may turn single machines away and serve the others. Ruled out: crashed upstreams (they announced themselves all the while).

After a failed renewal the next one goes through a peer that has reached the store lately; every third goes to the store itself. Peers make only this call: a read or a conditional update of a node's record. A relayed answer says nothing of the way to the store and leaves the feeds alone.

--- a/crates/core/src/fleet/documents.rs
+++ b/crates/core/src/fleet/documents.rs
@@ -129,6 +129,10 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
+        if let Call::Relayed(_) = call {
+            // Only the node's own record is read and written for it.
+            return self.renewed(outcome, now, out);
+        }
         let up = !matches!(outcome, Stored::Unavailable | Stored::Unknown);
         if up != self.store_up {
             self.store_up = up;
@@ -150,6 +154,7 @@
             }
             Call::Inspect(node) => self.inspected(&node, outcome, now),
             Call::Revoke(node) => self.revoked(&node, &outcome, now, out),
+            Call::Relayed(_) => {}
         }
     }
 
--- a/crates/core/src/fleet/effect.rs
+++ b/crates/core/src/fleet/effect.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::fleet::combine::Proposal;
 use crate::fleet::event::{Call, Kind, Order, Value};
 use crate::fleet::gossip::Gossip;
@@ -26,6 +28,15 @@
         /// What to do.
         op: Op,
     },
+    /// Have a peer call the store; ends with `Event::Stored`.
+    Relay {
+        /// The peer's address for requests.
+        to: SocketAddr,
+        /// What the call is for.
+        call: Call,
+        /// What to do.
+        op: Op,
+    },
     /// Ask a peer for a document; ends with `Event::Fetched`, or silently.
     Fetch {
         /// The peer's address for requests.
@@ -94,7 +105,7 @@
 }
 
 /// A call to the store.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Op {
     /// List all objects of a kind.
     List {
@@ -130,6 +141,20 @@
     },
 }
 
+impl Op {
+    /// Whether a node makes the call for a peer that the store turns away:
+    /// a read or a conditional update of a node's record.
+    #[must_use]
+    pub fn is_relayed(&self) -> bool {
+        let (Self::Read { kind, .. }
+        | Self::Update { kind, value: Value::Node(_), .. }) = self
+        else {
+            return false;
+        };
+        *kind == Kind::Nodes
+    }
+}
+
 /// An event worth a log line.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Notice {
--- a/crates/core/src/fleet/event.rs
+++ b/crates/core/src/fleet/event.rs
@@ -18,7 +18,18 @@
 pub use crate::event::Source;
 
 /// Kinds of objects in the store.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Deserialize,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
 pub enum Kind {
     /// The operator's configuration.
     Config,
@@ -31,7 +42,7 @@
 }
 
 /// The decoded value of an object.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Value {
     /// The operator's configuration.
     Config(Box<Config>),
@@ -46,7 +57,7 @@
 }
 
 /// An object of the store.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Item {
     /// Its name.
     pub name: String,
@@ -73,10 +84,12 @@
     Inspect(String),
     /// Revoke another node's lease.
     Revoke(String),
+    /// A call that a peer makes for this node.
+    Relayed(Box<Call>),
 }
 
 /// How a call to the store ended.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Stored {
     /// All objects of a kind.
     Listed {
--- a/crates/core/src/fleet/lease.rs
+++ b/crates/core/src/fleet/lease.rs
@@ -39,6 +39,10 @@
 /// has its lease back within two seconds.
 pub const RENEWAL_RETRY_MAX: u64 = 1_000;
 
+/// Least time that the lease of a peer lasts for it to call the store for
+/// others, in milliseconds: one that misses a renewal may not reach the store.
+pub const LEASE_FRESH: u64 = TERM - 2 * RENEWAL;
+
 /// Longest relative error of a clock, in per mille; the platform states 2 %.
 pub const CLOCK_ERROR: u64 = 20;
 
--- a/crates/core/src/fleet/reconcile.rs
+++ b/crates/core/src/fleet/reconcile.rs
@@ -15,7 +15,7 @@
 use crate::fleet::combine::Proposal;
 use crate::fleet::effect::{Effect, Notice, Op};
 use crate::fleet::event::{Call, Kind, Stored, Value};
-use crate::fleet::lease::{RENEWAL, TERM};
+use crate::fleet::lease::LEASE_FRESH;
 use crate::fleet::reducer::Fleet;
 use crate::fleet::table::{Life, Share, Table};
 
@@ -50,10 +50,6 @@
 /// Peers that a node proposes its changes to before it writes them itself.
 const PROPOSE_PEERS: u64 = 2;
 
-/// Least time that the lease of a peer lasts for it to combine changes, in
-/// milliseconds: one that misses a renewal may not reach the store.
-const LEASE_FRESH: u64 = TERM - 2 * RENEWAL;
-
 /// The change of the table that is under way.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Edit {
--- a/crates/core/src/fleet/renewal.rs
+++ b/crates/core/src/fleet/renewal.rs
@@ -1,11 +1,21 @@
 //! Renewal of the node's own lease.
 
+use std::net::SocketAddr;
+
+use rand::Rng;
+
 use crate::clock::Millis;
 use crate::fleet::effect::{Effect, Notice, Op};
 use crate::fleet::event::{Call, Item, Kind, Stored, Value};
-use crate::fleet::lease::{RENEWAL, RENEWAL_RETRY, RENEWAL_RETRY_MAX, Record};
+use crate::fleet::lease::{
+    LEASE_FRESH, RENEWAL, RENEWAL_RETRY, RENEWAL_RETRY_MAX, Record,
+};
 use crate::fleet::reducer::Fleet;
 
+/// Of so many calls one goes to the store itself, although it did not answer
+/// the last one.
+const DIRECT_EVERY: u32 = 3;
+
 /// The renewal of the lease.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Renewal {
@@ -14,6 +24,8 @@
     pub(super) due: Millis,
     /// Calls that failed in a row.
     pub(super) failures: u32,
+    /// All calls.
+    pub(super) calls: u32,
     /// The record in the store has been read or written by this process.
     pub(super) known: bool,
 }
@@ -28,7 +40,7 @@
         let (kind, name) = (Kind::Nodes, self.settings.node.clone());
         if !self.renewal.known {
             let op = Op::Read { kind, name };
-            out.push(Effect::Store { call: Call::Recall, op });
+            self.call_for_record(Call::Recall, op, now, out);
             return;
         }
         self.count += 1;
@@ -42,7 +54,44 @@
         });
         let expect = self.lease.revision;
         let op = Op::Update { kind, name, expect, value };
-        out.push(Effect::Store { call: Call::Renew, op });
+        self.call_for_record(Call::Renew, op, now, out);
+    }
+
+    /// Calls the store, or has a peer call it while it does not answer this
+    /// node: it may turn single nodes away, whose leases would end.
+    fn call_for_record(
+        &mut self,
+        call: Call,
+        op: Op,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        self.renewal.calls += 1;
+        let direct = self.store_up && self.renewal.failures == 0
+            || self.renewal.calls.is_multiple_of(DIRECT_EVERY);
+        let relay = if direct { None } else { self.relay(now) };
+        out.push(match relay {
+            None => Effect::Store { call, op },
+            Some(to) => {
+                let call = Call::Relayed(Box::new(call));
+                Effect::Relay { to, call, op }
+            }
+        });
+    }
+
+    /// A peer that has reached the store lately, drawn at random.
+    fn relay(&mut self, now: Millis) -> Option<SocketAddr> {
+        let mut peers: Vec<SocketAddr> = Vec::new();
+        for (node, peer) in self.directory.iter() {
+            let fresh =
+                peer.lease.is_some_and(|l| l.ends.since(now) >= LEASE_FRESH);
+            if fresh && !peer.said.leaving && self.directory.is_live(node, now)
+            {
+                peers.push(peer.requests());
+            }
+        }
+        let place = self.random.random_range(0..peers.len().max(1));
+        peers.get(place).copied()
     }
 
     pub(super) fn renewed(
--- a/crates/core/tests/fleet/ownership.rs
+++ b/crates/core/tests/fleet/ownership.rs
@@ -118,6 +118,21 @@
     sound(&world);
 }
 
+/// Guards against keys that are not served because the store turns their
+/// nodes away while it serves others: a third of all keys for 3 s.
+#[test]
+fn nodes_that_the_store_turns_away_keep_their_leases() {
+    let mut world = settled(6, 11);
+    for index in [1, 3, 4] {
+        world.bar_node(index, true);
+    }
+    for _ in 0..120 {
+        world.run(100);
+        assert!(world.held() > 0.999, "held {}", world.held());
+    }
+    sound(&world);
+}
+
 /// Guards against calls that are repeated without end while the store is
 /// down: refused ones are priced as well, and were half of a day's calls.
 #[test]
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -365,6 +365,12 @@
                     self.after(GOSSIP_TIME, Due::Event(index, life, event));
                 }
             }
+            Effect::Relay { to, call, op } => {
+                let std::net::IpAddr::V4(ip) = to.ip() else { return };
+                let other = usize::from(ip.octets()[3]) - 1;
+                assert!(op.is_relayed(), "{op:?}");
+                self.call_by(index, other, call, op);
+            }
             Effect::Propose { to, proposal } => {
                 let std::net::IpAddr::V4(ip) = to.ip() else { return };
                 let other = usize::from(ip.octets()[3]) - 1;
@@ -388,12 +394,19 @@
     }
 
     fn call(&mut self, index: usize, call: Call, op: Op) {
+        self.call_by(index, index, call, op);
+    }
+
+    /// A call of node `index` that `by` makes.
+    fn call_by(&mut self, index: usize, by: usize, call: Call, op: Op) {
         self.calls += 1;
         let life = self.nodes[index].life;
-        let node = &self.nodes[index];
-        if self.trouble.down || node.barred || !node.linked {
+        let node = &self.nodes[by];
+        let linked = node.linked && self.nodes[index].linked;
+        let up = node.fleet.is_some() && node.frozen <= self.now;
+        if self.trouble.down || node.barred || !linked || !up {
             let outcome = match op {
-                Op::Update { .. } if !node.linked => Stored::Unknown,
+                Op::Update { .. } if !linked => Stored::Unknown,
                 _ => Stored::Unavailable,
             };
             let event = Event::Stored { call, outcome };
--- a/crates/node/src/fleet/callers.rs
+++ b/crates/node/src/fleet/callers.rs
@@ -27,7 +27,9 @@
 use crate::fleet::message::{
     Answer, Call, LOAD, ORDER, PREFIX, REFUSAL, Reply,
 };
-use crate::fleet::peers::{DOCUMENTS, PROPOSALS, header, kind_of, load_line};
+use crate::fleet::peers::{
+    DOCUMENTS, PROPOSALS, STORE, header, kind_of, load_line,
+};
 use crate::fleet::ports::Asked;
 use crate::fleet::shell::{Shell, Unwritten};
 use crate::message::drop_named;
@@ -206,6 +208,11 @@
         if self.shared.closed.get() {
             return Ok(false);
         }
+        if self.source == Source::Peer && head.uri.path() == STORE {
+            let response = self.relay(&body).await;
+            self.push(None, Due::Now(response), keep, is_head);
+            return Ok(keep);
+        }
         let due = match self.call(head, body) {
             Ok(call) => {
                 let (ticket, reply) = self.shell.submit(call, self.source);
@@ -269,6 +276,18 @@
         Ok(Call { method, path, host, headers, body, asked, order })
     }
 
+    /// Calls the store for another node.
+    async fn relay(&self, body: &[u8]) -> Response {
+        let op = match serde_json::from_slice(body) {
+            Ok(op) => op,
+            Err(error) => return self.unusable(&error),
+        };
+        let stored = self.shell.relay(op).await;
+        let body = serde_json::to_vec(&stored).unwrap_or_default();
+        let (status, headers) = (StatusCode::OK, HeaderMap::new());
+        Response { status, headers, body: body.into() }
+    }
+
     /// Takes the changes that another node proposes.
     fn proposal(&self, body: &[u8]) -> Response {
         match serde_json::from_slice(body) {
@@ -276,13 +295,16 @@
                 self.shell.post(Event::Proposed(Box::new(proposal)));
                 plain(StatusCode::OK, "")
             }
-            Err(error) => {
-                self.shell.notices().malformed("peer", &error);
-                plain(StatusCode::BAD_REQUEST, &error.to_string())
-            }
+            Err(error) => self.unusable(&error),
         }
     }
 
+    /// Refuses a call of another node that cannot be read.
+    fn unusable(&self, error: &serde_json::Error) -> Response {
+        self.shell.notices().malformed("peer", error);
+        plain(StatusCode::BAD_REQUEST, &error.to_string())
+    }
+
     fn document(&self, name: &str) -> Response {
         let document = kind_of(name).and_then(|k| self.shell.document(k));
         let body = document.and_then(|d| serde_json::to_vec(&d).ok());
--- a/crates/node/src/fleet/peers.rs
+++ b/crates/node/src/fleet/peers.rs
@@ -7,7 +7,10 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method};
 use lagoondyke_core::fleet::combine::Proposal;
-use lagoondyke_core::fleet::event::{Document, Kind, Load, Order, Outcome};
+use lagoondyke_core::fleet::effect::Op;
+use lagoondyke_core::fleet::event::{
+    Document, Kind, Load, Order, Outcome, Stored,
+};
 use lagoondyke_core::verdict::{Reason, Refusal};
 use monoio::time::timeout;
 use serde::de::DeserializeOwned;
@@ -36,6 +39,9 @@
 /// Path at which a node takes the changes that another one proposes.
 pub const PROPOSALS: &str = "/lagoondyke/proposals";
 
+/// Path at which a node calls the store for another one.
+pub const STORE: &str = "/lagoondyke/store";
+
 /// Path of documents, followed by their kind.
 pub const DOCUMENTS: &str = "/lagoondyke/documents/";
 
@@ -107,6 +113,17 @@
         self.control(to, Method::POST, PROPOSALS, body.into()).await;
     }
 
+    /// Has another node call the store.
+    pub async fn relay(&self, to: SocketAddr, op: &Op) -> Stored {
+        let body = serde_json::to_vec(op).unwrap_or_default();
+        let response = self.control(to, Method::POST, STORE, body.into());
+        let stored = response
+            .await
+            .and_then(|response| serde_json::from_slice(&response.body).ok());
+        // The node may have made the call and lost the answer.
+        stored.unwrap_or(Stored::Unknown)
+    }
+
     /// Makes a call that is no caller's request.
     async fn control(
         &self,
--- a/crates/node/src/fleet/shell.rs
+++ b/crates/node/src/fleet/shell.rs
@@ -11,7 +11,7 @@
 use lagoondyke_core::fleet::config::Limits;
 use lagoondyke_core::fleet::effect::{Effect, Op};
 use lagoondyke_core::fleet::event::{
-    Call as StoreCall, Document, Event, Kind, Load, Order, Source,
+    Call as StoreCall, Document, Event, Kind, Load, Order, Source, Stored,
 };
 use lagoondyke_core::fleet::host::{Announcement, Grant};
 use lagoondyke_core::fleet::settings::Settings;
@@ -306,6 +306,13 @@
                     }
                 });
             }
+            Effect::Relay { to, call, op } => {
+                let shell = self.clone();
+                monoio::spawn(async move {
+                    let outcome = shell.inner.peers.relay(to, &op).await;
+                    shell.post(Event::Stored { call, outcome });
+                });
+            }
             Effect::Propose { to, proposal } => {
                 let shell = self.clone();
                 monoio::spawn(async move {
@@ -357,6 +364,15 @@
         });
     }
 
+    /// Calls the store for a peer.
+    pub async fn relay(&self, op: Op) -> Stored {
+        if !op.is_relayed() {
+            return Stored::Unavailable;
+        }
+        self.inner.metrics.store_call(&op);
+        self.inner.ports.store.call(op).await
+    }
+
     /// Starts an attempt of a request.
     fn begin(&self, ticket: Ticket) -> Option<(Rc<Call>, u32, Receiver<()>)> {
         let mut requests = self.inner.requests.borrow_mut();
