--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -105,6 +105,14 @@
     counted: bool,
 }
 
+impl Entry {
+    /// Notes the node that it was sent to last.
+    fn sent_to(&mut self, node: String) {
+        self.tried.retain(|tried| *tried != node);
+        self.tried.push(node);
+    }
+}
+
 /// All requests that have not ended, and what they show of the upstream.
 #[derive(Debug)]
 pub struct Requests {
--- a/crates/core/src/fleet/request/ingress.rs
+++ b/crates/core/src/fleet/request/ingress.rs
@@ -292,8 +292,7 @@
         peer.sent = peer.sent.saturating_add(1);
         let to = peer.requests();
         entry.state = State::Forwarded;
-        entry.tried.retain(|tried| *tried != node);
-        entry.tried.push(node);
+        entry.sent_to(node);
         let mut order = entry.order.clone();
         order.budget = entry.deadline.since(now);
         let age = now.since(entry.arrived);
@@ -473,8 +472,7 @@
         let Some(entry) = self.requests.entries.get_mut(&ticket) else {
             return;
         };
-        entry.tried.retain(|tried| *tried != node);
-        entry.tried.push(node);
+        entry.sent_to(node);
         let keyed = entry.order.key.is_some();
         // The upstream itself refused: it has been sent the request.
         if matches!(reason, Reason::Shed | Reason::Fenced) {
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -195,8 +195,7 @@
             return;
         };
         entry.state = State::Running(now);
-        entry.tried.retain(|tried| *tried != node);
-        entry.tried.push(node);
+        entry.sent_to(node);
         out.push(Effect::Dispatch {
             ticket,
             upstream,
--- a/crates/node/src/fleet/callers.rs
+++ b/crates/node/src/fleet/callers.rs
@@ -322,14 +322,7 @@
         conn: &mut Conn<TcpOwnedReadHalf>,
     ) {
         self.shell.notices().malformed("caller", error);
-        let status = match error {
-            WireError::HeadTooLarge => {
-                StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE
-            }
-            WireError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            _ => StatusCode::BAD_REQUEST,
-        };
-        let response = plain(status, &error.to_string());
+        let response = plain(error.status(), &error.to_string());
         self.push(None, Due::Now(response), false, false);
         self.drain(conn).await;
     }
--- a/crates/node/src/frames.rs
+++ b/crates/node/src/frames.rs
@@ -1,7 +1,6 @@
 //! Peer frames on a stream, and their conversion to requests and answers.
 
 use std::io;
-use std::os::fd::AsRawFd;
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
@@ -17,6 +16,7 @@
 
 use crate::message::{Answer, Call, is_passed_on};
 use crate::ports::Forward;
+use crate::wire::set_option;
 
 /// Bytes that are read at once.
 const READ_SIZE: usize = 32 * 1024;
@@ -200,17 +200,6 @@
 
 /// Bounds the time for which sent bytes may stay unacknowledged.
 pub fn user_timeout(stream: &TcpStream) {
-    let limit = UNACKNOWLEDGED_LIMIT;
-    // SAFETY: the descriptor is open while `stream` lives, and the option
-    // value is a valid integer of the size given. The result is ignored:
-    // without the option, a lost peer is only noticed later.
-    unsafe {
-        libc::setsockopt(
-            stream.as_raw_fd(),
-            libc::IPPROTO_TCP,
-            libc::TCP_USER_TIMEOUT,
-            (&raw const limit).cast(),
-            size_of_val(&limit) as libc::socklen_t,
-        );
-    }
+    let (level, name) = (libc::IPPROTO_TCP, libc::TCP_USER_TIMEOUT);
+    set_option(stream, level, name, &UNACKNOWLEDGED_LIMIT);
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -324,11 +324,7 @@
 }
 
 fn rejected(error: &WireError) -> Rejected {
-    let status = match error {
-        WireError::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-        WireError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        _ => StatusCode::BAD_REQUEST,
-    };
+    let status = error.status();
     Rejected { status, detail: error.to_string() }
 }
 
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -69,6 +69,18 @@
 
 impl std::error::Error for WireError {}
 
+impl WireError {
+    /// The status with which a caller's message is refused.
+    #[must_use]
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Closed | Self::Malformed(_) => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
 /// How the end of a body is found.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Framing {
