Renew leases every 2 s, and those of nodes without keys every 10 s

A fourth of the nodes has an upstream of a service without keys; their lease guards nothing.

The term is half a second longer, so that a lease still outlasts an outage of 4.5 s.

--- a/crates/core/src/fleet/lease.rs
+++ b/crates/core/src/fleet/lease.rs
@@ -25,11 +25,15 @@
 
 /// Term of a lease in milliseconds. It outlasts an outage of the store of
 /// 4.5 s, a usual one on the users' platform, with a renewal before it.
-pub const TERM: u64 = 6_000;
+pub const TERM: u64 = 6_500;
 
 /// Interval between renewals, in milliseconds. A call to the store is
 /// priced, so it is as long as the term allows with two tries to spare.
-pub const RENEWAL: u64 = 1_500;
+pub const RENEWAL: u64 = 2_000;
+
+/// Interval between renewals of a node whose service has no keys, in
+/// milliseconds. It owns nothing; its record only shows its address.
+pub const RENEWAL_IDLE: u64 = 10_000;
 
 /// Pause before a failed renewal is tried again, in milliseconds. It doubles
 /// with each further failure.
--- a/crates/core/src/fleet/renewal.rs
+++ b/crates/core/src/fleet/renewal.rs
@@ -8,7 +8,8 @@
 use crate::fleet::effect::{Effect, Notice, Op};
 use crate::fleet::event::{Call, Item, Kind, Stored, Value};
 use crate::fleet::lease::{
-    LEASE_FRESH, RENEWAL, RENEWAL_RETRY, RENEWAL_RETRY_MAX, Record,
+    LEASE_FRESH, RENEWAL, RENEWAL_IDLE, RENEWAL_RETRY, RENEWAL_RETRY_MAX,
+    Record,
 };
 use crate::fleet::reducer::Fleet;
 
@@ -35,6 +36,10 @@
         if self.renewal.pending || now < self.renewal.due {
             return;
         }
+        let rests = self.owns_nothing() && self.term > 0;
+        if rests && now < self.renewal.sent.plus(RENEWAL_IDLE) {
+            return;
+        }
         self.renewal.pending = true;
         self.renewal.sent = now;
         let (kind, name) = (Kind::Nodes, self.settings.node.clone());
@@ -143,7 +148,8 @@
             self.lease.revision = item.revision;
             return;
         }
-        let fresh = !self.renewal.known || self.lease.left(now) == 0;
+        let lapsed = self.lease.left(now) == 0 && !self.owns_nothing();
+        let fresh = self.term == 0 || lapsed;
         if self.term == 0 {
             self.term = item.revision;
         }
@@ -155,6 +161,12 @@
         }
     }
 
+    /// Whether the node needs no lease: its service has no keys.
+    fn owns_nothing(&self) -> bool {
+        let service = &self.settings.service;
+        self.config.as_ref().is_some_and(|config| !config.is_keyed(service))
+    }
+
     /// Another node has written the record: ranges may have been given to
     /// others, so the tables are read and claimed again.
     pub(super) fn lose_lease(&mut self, revision: u64, out: &mut Vec<Effect>) {
--- a/crates/core/tests/fleet/ownership.rs
+++ b/crates/core/tests/fleet/ownership.rs
@@ -1,7 +1,7 @@
 //! One owner per key, whatever is lost, late or cut off.
 
 use lagoondyke_core::fleet::host::Phase;
-use lagoondyke_core::fleet::lease::TERM;
+use lagoondyke_core::fleet::lease::{RENEWAL, TERM};
 
 use crate::support::{Trouble, World};
 
@@ -149,6 +149,20 @@
     sound(&world);
 }
 
+/// Guards against renewals more often than the lease needs: they are half of
+/// all calls on a day without faults.
+#[test]
+fn leases_are_renewed_no_more_often_than_needed() {
+    let mut world = settled(6, 12);
+    world.run(3_000);
+    world.calls = 0;
+    world.run(20_000);
+    let renewals = 6 * 20_000 / RENEWAL as u32;
+    // Beside them, each node lists the others twice.
+    assert!(world.calls <= renewals + 6 * 4, "{} calls", world.calls);
+    sound(&world);
+}
+
 /// Guards against keys that stay with an upstream that leaves.
 #[test]
 fn an_upstream_that_drains_gives_up_its_keys() {
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -5,7 +5,7 @@
 use lagoondyke_core::clock::Millis;
 use lagoondyke_core::fleet::Fleet;
 use lagoondyke_core::fleet::config::{Config, Route, Service, Target};
-use lagoondyke_core::fleet::effect::Effect;
+use lagoondyke_core::fleet::effect::{Effect, Op};
 use lagoondyke_core::fleet::event::{
     Arrival, Call, Event, Item, Kind, Order, Outcome, Source, Stored, Value,
 };
@@ -587,3 +587,27 @@
     assert_eq!(objective(1_200), Some(0), "a second one");
     assert_eq!(objective(1_800), Some(500), "another caller");
 }
+
+/// Guards against renewals by nodes that own nothing: a fourth of all.
+#[test]
+fn a_node_of_a_service_without_keys_renews_rarely() {
+    let mut bench = Bench::new();
+    let mut renewals = 0;
+    for revision in 10..810 {
+        bench.now += 25;
+        for effect in bench.step(Event::Tick) {
+            let Effect::Store { call, op } = effect else { continue };
+            let outcome = match (&call, op) {
+                (Call::Recall, _) => Stored::Missing,
+                (Call::Renew, Op::Update { name, value, .. }) => {
+                    renewals += 1;
+                    let value = Some(value);
+                    Stored::Done(Item { name, revision, value })
+                }
+                _ => continue,
+            };
+            bench.step(Event::Stored { call, outcome });
+        }
+    }
+    assert!((2..=3).contains(&renewals), "{renewals} renewals in 20 s");
+}
