--- a/crates/core/src/fleet/announce.rs
+++ b/crates/core/src/fleet/announce.rs
@@ -20,6 +20,7 @@
         out: &mut Vec<Effect>,
     ) {
         let ignored = self.misplaced(said);
+        let left = self.host.is_leaving();
         let taken = match ignored {
             Some(_) => Taken::Stale,
             None => self.host.announced(said, now),
@@ -38,8 +39,12 @@
             out.push(Effect::Notice(Notice::UpstreamStarted { id }));
             self.gossip_due = now;
         }
+        if self.host.is_leaving() && !left {
+            let id = said.life.id.clone();
+            out.push(Effect::Notice(Notice::UpstreamLeaving { id }));
+        }
         self.empty_queue(now, out);
-        self.plan_moves(now);
+        self.plan_moves(now, out);
         self.reconcile(now, out);
         if self.is_claiming() && self.host.is_ready() {
             self.answer_parked(now, out);
--- a/crates/core/src/fleet/effect.rs
+++ b/crates/core/src/fleet/effect.rs
@@ -204,6 +204,35 @@
         /// Why, in a few words.
         reason: String,
     },
+    /// Changes of a table were proposed to a peer.
+    Proposed {
+        /// The service.
+        service: String,
+        /// The peer's address for requests.
+        to: SocketAddr,
+        /// The term of the lease under which they hold.
+        term: u64,
+        /// Ranges that are handed over.
+        ranges: usize,
+    },
+    /// Ranges are to move to other nodes.
+    Moving {
+        /// Why.
+        reason: &'static str,
+        /// Ranges.
+        ranges: usize,
+        /// Requests per second for the keys of this node.
+        rate: u32,
+        /// Requests per second that its upstream can run.
+        capacity: u32,
+    },
+    /// A peer was asked to renew the lease.
+    Relayed {
+        /// The peer's address for requests.
+        to: SocketAddr,
+        /// Milliseconds for which the lease still lasts.
+        left: u64,
+    },
     /// The lease was gained after it had been lost.
     LeaseGained {
         /// Revision of the record.
@@ -228,7 +257,7 @@
         /// Its name.
         id: String,
     },
-    /// The upstream leaves.
+    /// The upstream said that it leaves or is gone.
     UpstreamLeaving {
         /// Its name.
         id: String,
--- a/crates/core/src/fleet/moves.rs
+++ b/crates/core/src/fleet/moves.rs
@@ -10,6 +10,7 @@
 use crate::clock::Millis;
 use crate::fleet::balance::{self, Member, Move};
 use crate::fleet::combine::Give;
+use crate::fleet::effect::{Effect, Notice};
 use crate::fleet::reducer::Fleet;
 use crate::fleet::table::{KEY_MAX, Range, Table};
 
@@ -135,7 +136,12 @@
 
     /// Plans moves of all ranges away from an upstream that leaves, is out
     /// of service or is gone.
-    pub(super) fn drain(&mut self, table: &Table, now: Millis) {
+    pub(super) fn drain(
+        &mut self,
+        table: &Table,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
         let gone = self.upstream_gone(now);
         let leaves = self.host.is_leaving() || self.is_out();
         if !gone && !leaves {
@@ -156,7 +162,7 @@
             targets = timely;
         }
         let moves = self.divide(&own, &targets);
-        self.moves.list.extend(moves);
+        self.plan(moves, "the upstream serves no longer", now, out);
     }
 
     /// The node's ranges without those that move.
@@ -170,16 +176,41 @@
 
     /// Plans moves when the upstream announces itself: the answer leaves out
     /// what is to move.
-    pub(super) fn plan_moves(&mut self, now: Millis) {
+    pub(super) fn plan_moves(&mut self, now: Millis, out: &mut Vec<Effect>) {
         let held = self.tables.get(&self.settings.service);
         let Some(held) = held.filter(|_| self.is_claimed()) else { return };
         let table = Rc::clone(&held.table);
-        self.drain(&table, now);
-        self.rebalance(&table, now);
+        self.drain(&table, now, out);
+        self.rebalance(&table, now, out);
+    }
+
+    /// Adds moves to those under way.
+    fn plan(
+        &mut self,
+        moves: Vec<Move>,
+        reason: &'static str,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        if moves.is_empty() {
+            return;
+        }
+        out.push(Effect::Notice(Notice::Moving {
+            reason,
+            ranges: moves.len(),
+            rate: self.heat.rate(now) as u32,
+            capacity: self.capacity(now) as u32,
+        }));
+        self.moves.list.extend(moves);
     }
 
     /// Plans moves of load above the fair share.
-    fn rebalance(&mut self, table: &Table, now: Millis) {
+    fn rebalance(
+        &mut self,
+        table: &Table,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
         if !self.moves.list.is_empty() || !self.host.is_ready() {
             return;
         }
@@ -192,8 +223,9 @@
             return;
         }
         if table.of(&self.settings.node).count() > RANGES_MAX {
-            self.merge_coldest(table, now);
-            return;
+            let coldest = self.coldest(table, now);
+            let reason = "the upstream has too many ranges";
+            return self.plan(coldest.into_iter().collect(), reason, now, out);
         }
         let node = self.settings.node.clone();
         let mut members = self.members(table, now);
@@ -201,7 +233,7 @@
             member.open &= self.is_timely(&member.node, now);
         }
         let moves = balance::plan(&node, &members, &held, &self.heat);
-        self.moves.list.extend(moves);
+        self.plan(moves, "load above the fair share", now, out);
     }
 
     /// Whether another node's upstream announces itself soon after this one
@@ -219,10 +251,10 @@
         wait <= interval / 2
     }
 
-    /// Plans to give the least loaded range to the owner of a neighbouring
-    /// one, so that the two become one: an answer to an announcement has
-    /// room for a limited number of ranges.
-    fn merge_coldest(&mut self, table: &Table, now: Millis) {
+    /// The least loaded range, to go to the owner of a neighbouring one, so
+    /// that the two become one: an answer to an announcement has room for a
+    /// limited number of ranges.
+    fn coldest(&self, table: &Table, now: Millis) -> Option<Move> {
         let node = &self.settings.node;
         let mut coldest: Option<(f64, Move)> = None;
         for (place, range) in table.ranges.iter().enumerate() {
@@ -241,7 +273,7 @@
                 coldest = Some((weight, Move { first, last, to }));
             }
         }
-        self.moves.list.extend(coldest.map(|(_, m)| m));
+        coldest.map(|(_, m)| m)
     }
 
     /// This node's upstream, and those that can take ranges.
--- a/crates/core/src/fleet/reconcile.rs
+++ b/crates/core/src/fleet/reconcile.rs
@@ -83,7 +83,7 @@
         };
         let (revision, old) = (held.revision, Rc::clone(&held.table));
         self.gathered.expire(now);
-        let own = self.proposal(&old, now);
+        let own = self.proposal(&old, now, out);
         if own.is_none() {
             self.edit.proposed = None;
         }
@@ -123,7 +123,12 @@
 
     /// What this node wants to change, if anything: to claim its ranges, and
     /// to hand over what its upstream has released.
-    fn proposal(&mut self, table: &Table, now: Millis) -> Option<Proposal> {
+    fn proposal(
+        &mut self,
+        table: &Table,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) -> Option<Proposal> {
         let life = self.host.life().cloned();
         let node = self.settings.node.clone();
         let claims = !self.is_claimed()
@@ -131,7 +136,7 @@
                 && table.of(&node).any(|range| range.life != life);
         let mut gives = Vec::new();
         if self.is_claimed() {
-            self.drain(table, now);
+            self.drain(table, now, out);
             gives = self.hand_over(table, now);
         }
         if !claims && gives.is_empty() {
@@ -157,6 +162,12 @@
             return false;
         };
         self.edit.due = now.plus(PROPOSE_RETRY);
+        out.push(Effect::Notice(Notice::Proposed {
+            service: self.settings.service.clone(),
+            to,
+            term: own.term,
+            ranges: own.gives.len(),
+        }));
         let proposal = Box::new(own.clone());
         out.push(Effect::Propose { to, proposal });
         true
--- a/crates/core/src/fleet/renewal.rs
+++ b/crates/core/src/fleet/renewal.rs
@@ -75,13 +75,14 @@
         let direct = self.store_up && self.renewal.failures == 0
             || self.renewal.calls.is_multiple_of(DIRECT_EVERY);
         let relay = if direct { None } else { self.relay(now) };
-        out.push(match relay {
-            None => Effect::Store { call, op },
-            Some(to) => {
-                let call = Call::Relayed(Box::new(call));
-                Effect::Relay { to, call, op }
-            }
-        });
+        let Some(to) = relay else {
+            out.push(Effect::Store { call, op });
+            return;
+        };
+        let left = self.lease.left(now);
+        out.push(Effect::Notice(Notice::Relayed { to, left }));
+        let call = Call::Relayed(Box::new(call));
+        out.push(Effect::Relay { to, call, op });
     }
 
     /// A peer that has reached the store lately, drawn at random.
--- a/crates/node/src/fleet/notices.rs
+++ b/crates/node/src/fleet/notices.rs
@@ -138,6 +138,20 @@
                 slog::info!(log, "table update sent"; "service" => service,
                     "expected_revision" => revision, "reason" => reason);
             }
+            Notice::Proposed { service, to, term, ranges } => {
+                slog::info!(log, "table changes proposed";
+                    "service" => service, "to" => %to, "term" => term,
+                    "ranges" => ranges);
+            }
+            Notice::Moving { reason, ranges, rate, capacity } => {
+                slog::info!(log, "ranges are to move"; "reason" => reason,
+                    "ranges" => ranges, "rate" => rate,
+                    "capacity" => capacity);
+            }
+            Notice::Relayed { to, left } => {
+                slog::info!(log, "lease renewal sent through a peer";
+                    "to" => %to, "left_ms" => left);
+            }
             Notice::LeaseGained { revision } => {
                 slog::info!(log, "lease gained"; "revision" => revision);
             }
@@ -152,7 +166,7 @@
                 slog::info!(log, "upstream announced itself"; "id" => id);
             }
             Notice::UpstreamLeaving { id } => {
-                slog::info!(log, "upstream has left"; "id" => id);
+                slog::info!(log, "upstream leaves"; "id" => id);
             }
             Notice::UpstreamDown => {
                 slog::warn!(log, "upstream refuses connections");
