--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -34,6 +34,7 @@
 mod reducer;
 mod renewal;
 pub mod request;
+pub mod rules;
 pub mod settings;
 pub mod table;
 mod takeover;
--- a/crates/core/src/fleet/announce.rs
+++ b/crates/core/src/fleet/announce.rs
@@ -3,8 +3,8 @@
 use crate::clock::Millis;
 use crate::fleet::effect::{Effect, Notice};
 use crate::fleet::host::{Announcement, Grant, Granted, HOLD, Taken};
-use crate::fleet::lease::shortened;
 use crate::fleet::reducer::Fleet;
+use crate::fleet::rules;
 use crate::id::Ticket;
 
 /// Longest time that an announcement waits for a claim, in milliseconds. The
@@ -117,9 +117,9 @@
     pub(super) fn grant(&mut self, now: Millis) -> Grant {
         let left = self.lease.left(now);
         let longest_hold = HOLD.min(self.settings.bounds.hold_ms());
-        let hold_ms = shortened(shortened(left)).min(longest_hold);
+        let hold_ms = rules::grant_term(left, longest_hold);
         let held = self.tables.get(&self.settings.service);
-        if hold_ms == 0 || !self.is_claimed() {
+        if hold_ms == 0 || !rules::may_grant(self.claim(), self.term, left) {
             return Grant::default();
         }
         let Some(held) = held else { return Grant::default() };
--- a/crates/core/src/fleet/reconcile.rs
+++ b/crates/core/src/fleet/reconcile.rs
@@ -201,13 +201,15 @@
         self.reconcile(now, out);
     }
 
-    /// Whether the table shows that this node has claimed its ranges under
-    /// its present term: no takeover from before can succeed any more.
+    /// The term under which the table shows this node's claim.
+    pub(super) fn claim(&self) -> Option<u64> {
+        let held = self.tables.get(&self.settings.service)?;
+        held.table.claims.get(&self.settings.node).copied()
+    }
+
+    /// Whether the table shows this node's claim under its present term.
     pub(super) fn is_claimed(&self) -> bool {
-        let held = self.tables.get(&self.settings.service);
-        let claims = held.map(|held| &held.table.claims);
-        let claim = claims.and_then(|all| all.get(&self.settings.node));
-        self.term > 0 && claim == Some(&self.term)
+        self.term > 0 && self.claim() == Some(self.term)
     }
 
     /// Takes the outcome of a change.
--- a/crates/core/src/fleet/takeover.rs
+++ b/crates/core/src/fleet/takeover.rs
@@ -12,6 +12,7 @@
 use crate::fleet::lease::{Known, Record, TERM, longest};
 use crate::fleet::moves::Target;
 use crate::fleet::reducer::Fleet;
+use crate::fleet::rules::{self, Revocation};
 use crate::fleet::table::Table;
 
 /// Delay for each node that precedes this one in the order of names before
@@ -39,15 +40,6 @@
     Revoked(Revocation),
 }
 
-/// What is known of a revoked lease.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct Revocation {
-    /// When the right has surely ended.
-    ends: Millis,
-    /// The node claims ranges again only under a term from here on.
-    term: u64,
-}
-
 impl Fleet {
     /// Revokes the leases of lost nodes that own ranges.
     pub(super) fn watch_losses(&mut self, now: Millis, out: &mut Vec<Effect>) {
@@ -216,7 +208,7 @@
             let Stage::Revoked(revocation) = loss.stage else { continue };
             // The node may have gained its lease and claimed its ranges again.
             let claim = table.claims.get(node).copied().unwrap_or(0);
-            if now < revocation.ends || claim >= revocation.term {
+            if !rules::may_take_over(claim, revocation, now) {
                 continue;
             }
             let ranges: Vec<(u16, u16)> = table
