--- a/crates/node/src/fleet/callers.rs
+++ b/crates/node/src/fleet/callers.rs
@@ -175,7 +175,9 @@
             }
             self.shared.active.set(clock::since_boot());
             let keep = keeps_alive(head.version, &head.headers);
-            match self.request(head, keep, conn).await {
+            // Boxed, so that an idle connection does not hold its room.
+            let request = Box::pin(self.request(head, keep, conn));
+            match request.await {
                 Ok(true) => {}
                 Ok(false) => return self.drain(conn).await,
                 Err(WireError::Closed) => return,
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -35,7 +35,7 @@
 const READ_FIRST: usize = 2 * 1024;
 
 /// Largest write buffer that a connection keeps, in bytes.
-const OUT_KEPT: usize = 32 * 1024;
+const OUT_KEPT: usize = 1024;
 
 /// Bytes that are read while a connection is only watched for its end. The
 /// buffer is lost when the watch is given up, so it is small.
