--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -52,8 +52,18 @@
     }
 
     fn gossip(&mut self, index: usize, service: &str) -> Vec<Effect> {
+        self.gossip_with(index, service, &[])
+    }
+
+    fn gossip_with(
+        &mut self,
+        index: usize,
+        service: &str,
+        suspects: &[Fingerprint],
+    ) -> Vec<Effect> {
         self.count += 1;
         let gossip = Box::new(Gossip {
+            suspects: suspects.to_vec(),
             node: format!("n{index}"),
             count: self.count,
             peer_port: 3,
@@ -611,3 +621,37 @@
     }
     assert!((2..=3).contains(&renewals), "{renewals} renewals in 20 s");
 }
+
+/// Guards against a request that crashes one upstream after the other: three
+/// nodes have seen it at a crash.
+#[test]
+fn a_request_that_crashed_upstreams_is_refused_everywhere() {
+    let mut bench = Bench::new();
+    let harmful = Fingerprint(bench.next);
+    for index in 1..=3 {
+        let told = bench.gossip_with(index, "k", &[harmful]);
+        assert!(refusal(&told).is_none());
+    }
+    let out = bench.arrive("/k/", Some(3));
+    let refused = refusal(&out).expect("the request is harmful");
+    assert_eq!(refused.reason, Reason::Poisoned);
+    let out = bench.arrive("/k/", Some(3));
+    assert_eq!(forwards(&out).len(), 1, "another one is not");
+}
+
+/// Guards against a crash that the other nodes do not hear of.
+#[test]
+fn requests_at_a_crash_are_told_to_the_other_nodes() {
+    let mut bench = Bench::new();
+    bench.announce(Phase::Ready, 4);
+    assert_eq!(dispatches(&bench.peer_asks(0, 5_000)), 1);
+    bench.step(Event::UpstreamDown);
+    bench.gossip(1, "k");
+    bench.now += 1_000;
+    let told =
+        bench.step(Event::Tick).into_iter().find_map(|effect| match effect {
+            Effect::Send { gossip, .. } => Some(gossip.suspects),
+            _ => None,
+        });
+    assert_eq!(told, Some(vec![Fingerprint(1)]));
+}
