Bound what peers of a group may hold open at a node

Connections of peers and the requests on them were unbounded, while a VM has as few as 4,100 descriptors and 160 MB. Beyond 1,024 connections, or 4,096 requests without an answer on one, requests are refused as not run.

--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -1,6 +1,6 @@
 //! Connections from other nodes, as the receiver of requests.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -16,36 +16,56 @@
 use crate::frames::{FrameReader, answer_frame, call_of, user_timeout};
 use crate::message::Reply;
 use crate::run::accept;
+use crate::serve::Limits;
 use crate::shell::Shell;
 
 /// Bytes that are gathered for one write.
 const BATCH: usize = 64 * 1024;
 
+/// Connections beyond those whose requests are taken. On these, requests are
+/// refused, so that the peer learns that they have not run; further ones are
+/// closed.
+const REFUSING_MAX: usize = 64;
+
 /// A connection from a peer.
 struct Session {
     shell: Shell,
+    /// Requests that may be without an answer at a time.
+    pending: usize,
     queue: Tx<Option<Vec<u8>>>,
     live: RefCell<HashMap<u64, Ticket>>,
 }
 
 /// Serves connections from peers until the process ends.
-pub fn listen(listener: TcpListener, shell: &Shell) {
+pub fn listen(listener: TcpListener, shell: &Shell, limits: Limits) {
     let shell = shell.clone();
+    let open = Rc::new(Cell::new(0_usize));
     monoio::spawn(async move {
         loop {
             let stream = accept(&listener).await;
-            monoio::spawn(serve(stream, shell.clone()));
+            let before = open.get();
+            if before >= limits.peers + REFUSING_MAX {
+                continue;
+            }
+            let full = before >= limits.peers;
+            let pending = if full { 0 } else { limits.pending };
+            let (shell, open) = (shell.clone(), Rc::clone(&open));
+            open.set(before + 1);
+            monoio::spawn(async move {
+                serve(stream, shell, pending).await;
+                open.set(open.get() - 1);
+            });
         }
     });
 }
 
-async fn serve(stream: TcpStream, shell: Shell) {
+async fn serve(stream: TcpStream, shell: Shell, pending: usize) {
     let _ = stream.set_nodelay(true);
     user_timeout(&stream);
     let (read, write) = stream.into_split();
     let (queue, due) = unbounded::channel();
     let live = RefCell::default();
-    let session = Rc::new(Session { shell, queue, live });
+    let session = Rc::new(Session { shell, pending, queue, live });
     let writer = session.shell.clone();
     monoio::spawn(async move { send(due, write, &writer).await });
     let mut reader = FrameReader::new(read);
@@ -135,6 +155,12 @@
         if self.live.borrow().contains_key(&id) {
             return Err(FrameError::Malformed);
         }
+        if self.live.borrow().len() >= self.pending {
+            let detail = "the node has too many requests of peers";
+            let refusal = Refusal::new(Reason::Overloaded, detail);
+            self.push(&Frame::Refused { id, refusal }, b"");
+            return Ok(());
+        }
         let call = match call_of(frame, body) {
             Ok(call) => call,
             Err(error) => {
@@ -149,7 +175,7 @@
         let session = Rc::clone(self);
         // The reply can arrive before `submit` returns, so the ticket is
         // noted only if the request is still live then.
-        let ended = Rc::new(std::cell::Cell::new(false));
+        let ended = Rc::new(Cell::new(false));
         let flag = Rc::clone(&ended);
         let done = Box::new(move |reply: Reply| {
             flag.set(true);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -120,7 +120,7 @@
     let records = Records { log, metrics, tracer };
     let shell = Shell::new(settings, node, ports, records);
     control.listen(&shell);
-    peer_server::listen(sockets.peers, &shell);
+    peer_server::listen(sockets.peers, &shell, limits);
     serve::listen(sockets.callers, &shell, limits);
     Ok(shell)
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -43,7 +43,7 @@
 /// Longest deadline, in milliseconds.
 const DEADLINE_MAX: u64 = 60_000;
 
-/// Times that a caller may take.
+/// Times that a caller may take, and what peers may hold open.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// For which a connection may be idle between requests.
@@ -54,6 +54,10 @@
     pub body: Duration,
     /// To take an answer.
     pub write: Duration,
+    /// Connections of peers whose requests are taken. Each peer keeps one.
+    pub peers: usize,
+    /// Requests of one such connection that have no answer yet.
+    pub pending: usize,
 }
 
 impl Default for Limits {
@@ -63,6 +67,8 @@
             head: Duration::from_secs(10),
             body: Duration::from_secs(30),
             write: Duration::from_secs(30),
+            peers: 1_024,
+            pending: 4_096,
         }
     }
 }
--- a/crates/node/tests/contract/peer_frames.rs
+++ b/crates/node/tests/contract/peer_frames.rs
@@ -149,6 +149,33 @@
     stream.write_all(&bytes).expect("write");
 }
 
+/// Guards against peers that take all descriptors and memory of a node, and
+/// against refusals beyond the bounds that do not say that nothing ran.
+#[test]
+fn requests_of_peers_beyond_the_bounds_are_refused_as_not_run() {
+    let bounds = [
+        ("connections", Limits { peers: 1, ..Limits::default() }),
+        ("requests", Limits { pending: 0, ..Limits::default() }),
+    ];
+    for (what, limits) in bounds {
+        let node = node(limits);
+        let _first = TcpStream::connect(node.addr).expect("connect");
+        let mut stream = TcpStream::connect(node.addr).expect("connect");
+        let call = call(Method::GET, "/x", b"");
+        let (to, deadline) = (NodeAddr(node.addr), later());
+        let forward = Forward { to, call, deadline, trace: None };
+        let frame = request_frame(7, &forward, clock::now());
+        send_frame(&mut stream, &frame);
+        match read_frame(&mut stream) {
+            Some((Frame::Refused { id: 7, refusal }, _)) => {
+                assert_eq!(refusal.reason, Reason::Overloaded, "{what}");
+                assert_eq!(refusal.verdict, Verdict::NotRun, "{what}");
+            }
+            other => panic!("{what}: expected a refusal, got {other:?}"),
+        }
+    }
+}
+
 /// Guards against one malformed request that ends the connection, and with
 /// it all other requests on it.
 #[test]
