Log which revision of the configuration a node has and has heard of

The reports are a configuration that was not in force in time and a request that kept crashing upstreams; there is no record beyond two lines.

Change: `configuration in force` names the store revision, `a peer has a later document` is logged while a node knows of a revision that it does not have, and `upstream refuses connections` has the number of suspects. Two gauges, lagoondyke_config_version and lagoondyke_config_revision, show the same to monitoring. Nothing that decides has changed.

--- a/crates/core/src/fleet/announce.rs
+++ b/crates/core/src/fleet/announce.rs
@@ -170,8 +170,8 @@
         }
         self.upstream.set_unreachable();
         self.gossip_due = now;
-        out.push(Effect::Notice(Notice::UpstreamDown));
-        self.record_crash(now);
+        let suspects = self.record_crash(now);
+        out.push(Effect::Notice(Notice::UpstreamDown { suspects }));
         self.refuse_queued(now, out);
     }
 }
--- a/crates/core/src/fleet/documents.rs
+++ b/crates/core/src/fleet/documents.rs
@@ -288,7 +288,11 @@
         }
         let version = config.version;
         self.config = Some(Rc::new(config));
-        out.push(Effect::Notice(Notice::Config { version, relayed }));
+        out.push(Effect::Notice(Notice::Config {
+            version,
+            revision,
+            relayed,
+        }));
     }
 
     pub(super) fn apply_table(
--- a/crates/core/src/fleet/effect.rs
+++ b/crates/core/src/fleet/effect.rs
@@ -163,6 +163,8 @@
     Config {
         /// Version of the configuration.
         version: u64,
+        /// Store revision of the document.
+        revision: u64,
         /// Whether it came from a peer rather than from the store.
         relayed: bool,
     },
@@ -173,6 +175,15 @@
         /// Store revision of the change.
         revision: u64,
     },
+    /// A peer has a later version of the operator's documents than this node.
+    Outdated {
+        /// Kind of the documents.
+        kind: ObjectKind,
+        /// Store revision that this node has.
+        revision: u64,
+        /// Latest store revision that peers have told of.
+        heard: u64,
+    },
     /// An object in the store is invalid.
     Rejected {
         /// Name of the object.
@@ -264,7 +275,11 @@
         id: String,
     },
     /// The upstream cannot be reached.
-    UpstreamDown,
+    UpstreamDown {
+        /// Number of requests that were running, which are suspected to have
+        /// crashed it.
+        suspects: usize,
+    },
     /// The store became reachable or unreachable.
     Store {
         /// Whether it answers.
--- a/crates/core/src/fleet/peer_sync.rs
+++ b/crates/core/src/fleet/peer_sync.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Millis;
 use crate::fleet::documents::version_of;
-use crate::fleet::effect::Effect;
+use crate::fleet::effect::{Effect, Notice};
 use crate::fleet::event::{Document, ObjectKind};
 use crate::fleet::gossip::Gossip;
 use crate::fleet::reducer::Fleet;
@@ -129,13 +129,19 @@
                 version_of(kind, &peer.gossip.versions) > ours
                     && self.directory.is_live(node, now)
             });
-            let from = ahead.next().map(|(_, peer)| peer.request_addr());
-            let Some(from) = from else {
+            let Some((_, peer)) = ahead.next() else {
                 self.feeds[index].fetch_due = None;
                 continue;
             };
+            let from = peer.request_addr();
+            let heard = version_of(kind, &peer.gossip.versions);
             self.feeds[index].fetch_due = Some(now.plus(FETCH_RETRY_MS));
             out.push(Effect::Fetch { from, kind });
+            // Tables change all the time, and their watch may be behind.
+            if kind != ObjectKind::Tables {
+                let notice = Notice::Outdated { kind, revision: ours, heard };
+                out.push(Effect::Notice(notice));
+            }
         }
     }
 
--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -187,6 +187,12 @@
         self.config.as_ref()
     }
 
+    /// Store revision of the configuration in force; 0 if there is none.
+    #[must_use]
+    pub fn config_revision(&self) -> u64 {
+        self.versions.config
+    }
+
     /// The document of this kind for a peer that fetches it; `None` if this
     /// node has none, or for kinds that peers do not pass on.
     #[must_use]
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -260,15 +260,17 @@
     }
 
     /// Records the requests that were running when the upstream crashed as
-    /// suspects.
-    pub(in crate::fleet) fn record_crash(&mut self, now: Millis) {
+    /// suspects, and returns their number.
+    pub(in crate::fleet) fn record_crash(&mut self, now: Millis) -> usize {
         let mut running = Vec::new();
         for entry in self.requests.entries.values() {
             if matches!(entry.state, State::Running(_)) {
                 running.push(entry.fingerprint);
             }
         }
+        let suspects = running.len();
         self.requests.suspects.record_crash(running, now);
+        suspects
     }
 
     /// Removes all queued requests if the upstream no longer accepts work:
--- a/crates/node/src/fleet/metrics.rs
+++ b/crates/node/src/fleet/metrics.rs
@@ -99,6 +99,15 @@
         });
     }
 
+    /// Sets the version of the configuration in force and its revision in the
+    /// store; both are 0 if there is none.
+    pub fn set_config(&self, version: u64, revision: u64) {
+        metrics::with_local_recorder(&self.recorder, || {
+            gauge!("lagoondyke_config_version").set(version as f64);
+            gauge!("lagoondyke_config_revision").set(revision as f64);
+        });
+    }
+
     /// Counts an input from `source` that could not be decoded.
     pub fn malformed(&self, source: &'static str) {
         metrics::with_local_recorder(&self.recorder, || {
--- a/crates/node/src/fleet/notice_log.rs
+++ b/crates/node/src/fleet/notice_log.rs
@@ -13,6 +13,7 @@
 use slog::Logger;
 
 use crate::clock;
+use crate::fleet::peers::kind_name;
 
 /// Number of rate-limited lines that are allowed per
 /// [`REFILL_INTERVAL_MS`].
@@ -120,6 +121,13 @@
                         "name" => name, "error" => error);
                 }
             }
+            Notice::Outdated { kind, revision, heard } => {
+                if self.take_token() {
+                    slog::warn!(log, "a peer has a later document";
+                        "kind" => kind_name(*kind), "revision" => revision,
+                        "heard" => heard);
+                }
+            }
             other => self.log_state(other),
         }
     }
@@ -129,9 +137,9 @@
     fn log_state(&self, notice: &Notice) {
         let log = &self.log;
         match notice {
-            Notice::Config { version, relayed } => slog::info!(log,
-                "configuration in force";
-                "version" => version, "from_peer" => relayed),
+            Notice::Config { version, revision, relayed } => slog::info!(log,
+                "configuration in force"; "version" => version,
+                "revision" => revision, "from_peer" => relayed),
             Notice::Domains { out, revision } => slog::info!(log,
                 "failure domains out of service changed";
                 "out" => out.join(" "), "revision" => revision),
@@ -173,8 +181,9 @@
                 slog::info!(log, "upstream is draining or has exited";
                     "id" => id);
             }
-            Notice::UpstreamDown => {
-                slog::warn!(log, "upstream refuses connections");
+            Notice::UpstreamDown { suspects } => {
+                slog::warn!(log, "upstream refuses connections";
+                    "suspects" => suspects);
             }
             Notice::Store { up: true } => {
                 slog::info!(log, "store answers again");
--- a/crates/node/src/fleet/shell.rs
+++ b/crates/node/src/fleet/shell.rs
@@ -216,8 +216,10 @@
     /// Renders all metrics in the Prometheus text format.
     #[must_use]
     pub fn render_metrics(&self) -> String {
-        let outstanding = self.inner.fleet.borrow().outstanding();
-        self.inner.metrics.set_outstanding(outstanding);
+        let fleet = self.inner.fleet.borrow();
+        self.inner.metrics.set_outstanding(fleet.outstanding());
+        let version = fleet.config().map_or(0, |config| config.version);
+        self.inner.metrics.set_config(version, fleet.config_revision());
         self.inner.metrics.render()
     }
 
