List a document that gossip has shown and no peer delivers

Cause: a node that hears of a later revision fetches the document from a peer that has it, and asks nobody else. If the only node whose watch reported the change stops before another has fetched the document, no peer is ahead any longer, the fetch is forgotten, and the change is in force nowhere until a watch returns, up to 26.5 s later.

Ruled out: the content of the document, and the order of versions; the same fleet takes the document at once when it is listed.

Change: the feed remembers the highest revision that gossip has shown. If a second fetch is due, or no live peer has the revision any more, the node lists the documents in the store, once for each revision heard of. Tables take the same way. The list is what the store acknowledged, so it contains the change whichever node has stopped.

--- a/crates/core/src/fleet/documents.rs
+++ b/crates/core/src/fleet/documents.rs
@@ -61,6 +61,12 @@
     /// When to fetch the document from a peer that has a later version; `None`
     /// if no peer has one.
     pub(super) fetch_due: Option<Millis>,
+    /// Whether a peer has been asked since `fetch_due` was first set.
+    pub(super) fetched: bool,
+    /// Highest revision that gossip has shown.
+    pub(super) heard: u64,
+    /// Store revision of the latest listing.
+    listed: u64,
 }
 
 impl Feed {
@@ -74,6 +80,17 @@
             retry_due: now,
             failures: 0,
             fetch_due: None,
+            fetched: false,
+            heard: 0,
+            listed: 0,
+        }
+    }
+
+    /// Requests a listing if gossip has shown a revision that is later than
+    /// `ours` and that no listing can have missed.
+    pub(super) fn list_if_behind(&mut self, ours: u64) {
+        if self.heard > ours.max(self.listed) && !self.listing {
+            self.current = false;
         }
     }
 
@@ -179,6 +196,7 @@
             return;
         };
         feed.failures = 0;
+        feed.listed = revision;
         feed.revision = Some(feed.revision.unwrap_or(0).max(revision));
         if kind == ObjectKind::Domains {
             let names = items.into_iter().map(|item| item.name).collect();
--- a/crates/core/src/fleet/peer_sync.rs
+++ b/crates/core/src/fleet/peer_sync.rs
@@ -105,13 +105,17 @@
             if theirs <= ours {
                 continue;
             }
+            feed.heard = feed.heard.max(theirs);
             if feed.fetch_due.is_none() {
                 feed.fetch_due = Some(now.plus(FETCH_DELAY_MS));
+                feed.fetched = false;
             }
         }
     }
 
-    /// Fetches from peers the documents that the store has not delivered.
+    /// Fetches from peers the documents that the store has not delivered, and
+    /// lists them in the store if the peers do not deliver them either: the
+    /// only node that has a document may stop.
     pub(super) fn fetch_missing_documents(
         &mut self,
         now: Millis,
@@ -131,11 +135,16 @@
             });
             let Some((_, peer)) = ahead.next() else {
                 self.feeds[index].fetch_due = None;
+                self.feeds[index].list_if_behind(ours);
                 continue;
             };
             let from = peer.request_addr();
             let heard = version_of(kind, &peer.gossip.versions);
-            self.feeds[index].fetch_due = Some(now.plus(FETCH_RETRY_MS));
+            let feed = &mut self.feeds[index];
+            feed.fetch_due = Some(now.plus(FETCH_RETRY_MS));
+            if std::mem::replace(&mut feed.fetched, true) {
+                feed.list_if_behind(ours);
+            }
             out.push(Effect::Fetch { from, kind });
             // Tables change all the time, and their watch may be behind.
             if kind != ObjectKind::Tables {
--- a/crates/core/tests/fleet/ownership.rs
+++ b/crates/core/tests/fleet/ownership.rs
@@ -281,8 +281,11 @@
         8 => sim.set_store_denied(index, false),
         9 => sim.store_faults.down = !sim.store_faults.down,
         10 => {
-            sim.store_faults =
-                StoreFaults { lost_percent: 40, late: true, down: false }
+            sim.store_faults = StoreFaults {
+                lost_percent: 40,
+                late: true,
+                ..StoreFaults::default()
+            }
         }
         _ => sim.store_faults = StoreFaults::default(),
     }
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -35,6 +35,9 @@
 /// Time that a message to another node takes.
 const MESSAGE_DELAY_MS: u64 = 2;
 
+/// Time after the end of a watch at which its caller gives up.
+const WATCH_MARGIN_MS: u64 = 1_500;
+
 /// Longest delay of a late write or a late proposal.
 const MAX_LATE_DELAY_MS: u64 = 6_000;
 
@@ -48,6 +51,18 @@
     /// Writes without an answer are performed late, and proposals arrive
     /// late.
     pub late: bool,
+    /// What becomes of watches when there are changes to report.
+    pub watches: WatchFault,
+}
+
+/// Fault of the store's watches.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum WatchFault {
+    /// Watches report changes.
+    #[default]
+    None,
+    /// Watches stay open and report nothing, but for those of this node.
+    Silent(Option<usize>),
 }
 
 /// A range that an upstream holds.
@@ -112,6 +127,8 @@
     pub now: u64,
     /// Faults at present.
     pub store_faults: StoreFaults,
+    /// Whether nodes get no answer when they fetch documents from each other.
+    pub documents_lost: bool,
     /// The upstream of each node.
     pub upstreams: Vec<Upstream>,
     nodes: Vec<Node>,
@@ -185,6 +202,7 @@
         let mut sim = Self {
             now: 10_000,
             store_faults: StoreFaults::default(),
+            documents_lost: false,
             upstreams: Vec::new(),
             nodes: Vec::new(),
             schedule: BTreeMap::new(),
@@ -281,6 +299,26 @@
         upstream.announce_at = now + index as u64 * 37;
     }
 
+    /// Publishes a version of the configuration, as the operator does.
+    pub fn publish_config(&mut self, version: u64) {
+        let key = (ObjectKind::Config, "main".to_owned());
+        let Some((_, Value::Config(config))) = self.objects.get(&key) else {
+            return;
+        };
+        let config = Config { version, ..Config::clone(config) };
+        self.revision += 1;
+        let entry = (self.revision, Value::Config(Box::new(config)));
+        self.objects.insert(key, entry);
+    }
+
+    /// Versions of the configuration that the running nodes have in force.
+    pub fn config_versions(&self) -> BTreeSet<u64> {
+        let fleets = self.nodes.iter().filter_map(|n| n.fleet.as_ref());
+        let version =
+            |fleet: &Fleet| fleet.config().map_or(0, |config| config.version);
+        fleets.map(version).collect()
+    }
+
     pub fn kill_upstream(&mut self, index: usize) {
         self.upstreams[index].up = false;
     }
@@ -411,8 +449,9 @@
             Effect::Fetch { from, kind } => {
                 let std::net::IpAddr::V4(ip) = from.ip() else { return };
                 let other = usize::from(ip.octets()[3]) - 1;
-                let connected =
-                    self.nodes[index].connected && self.nodes[other].connected;
+                let connected = self.nodes[index].connected
+                    && self.nodes[other].connected
+                    && !self.documents_lost;
                 let fleet = self.nodes[other].fleet.as_ref();
                 let document = fleet.and_then(|fleet| fleet.document(kind));
                 if let (true, Some(document)) = (connected, document) {
@@ -570,6 +609,12 @@
                 self.store_faults.down || node.store_denied || !node.connected;
             let outcome = if unreachable {
                 StoreOutcome::Unavailable
+            } else if self.is_silent(index) && self.now < end + WATCH_MARGIN_MS
+            {
+                self.watches.push((index, process, kind, after, end));
+                continue;
+            } else if self.is_silent(index) {
+                StoreOutcome::Unavailable
             } else if !names.is_empty() || self.now >= end {
                 let items = names.iter().filter_map(|n| self.item(kind, n));
                 let items = items.collect();
@@ -586,6 +631,14 @@
         }
     }
 
+    /// Whether the watches of a node report nothing.
+    fn is_silent(&self, index: usize) -> bool {
+        match self.store_faults.watches {
+            WatchFault::Silent(except) => except != Some(index),
+            WatchFault::None => false,
+        }
+    }
+
     /// Releases ranges whose last request has ended, drops expired ones, and
     /// sends the announcements that are due.
     fn step_upstreams(&mut self) {
