Check the operator's documents in the store at regular intervals

Cause: a change of the operator's documents reaches the fleet by watches only, and gossip passes on what one watch has delivered. A watch waits 25 s and its caller 26.5 s. If the watches of all nodes are open and silent, or answered without the change, no node hears of it until the first of them ends; a watch that skipped the change goes on behind it, so then it is never heard of.

Evidence, on the reducer: with six nodes and silent watches, and with watches that are answered with a later revision and no events, all nodes still ran version 1 after 2 s (`left: {1} right: {2}`), and so did a single node without peers.

Ruled out: the retry of a watch that fails (250 ms to 2 s, reset by any call that succeeds), and a lost history (the next call lists).

Change: in each failure domain, the first live node by name lists the configuration every half of the time within which a change must be in force, and the domains out of service every 1.5 s. The other nodes hear of what it finds by gossip. The listing is consistent, so its result does not depend on what any watch has reported. The bound comes from the new optional setting `bounds.config_ms`. Tables are not checked: the node that writes one has it.

--- a/crates/core/examples/fleet.rs
+++ b/crates/core/examples/fleet.rs
@@ -57,6 +57,7 @@
             retry_share: Some(0.2),
             drain_ms: Some(2_000.0),
             evacuate_ms: Some(5_000.0),
+            config_ms: Some(2_000.0),
             announce_ms: Some(1_000.0),
         },
         log: LogSettings::default(),
--- a/crates/core/src/fleet/documents.rs
+++ b/crates/core/src/fleet/documents.rs
@@ -10,10 +10,12 @@
 use crate::fleet::event::{Call, Item, ObjectKind, StoreOutcome, Value};
 use crate::fleet::gossip::Versions;
 use crate::fleet::reducer::Fleet;
+use crate::fleet::settings::Settings;
 use crate::fleet::table::Table;
 
-/// Longest wait of a watch call. Gossip reveals versions that a watch has
-/// missed, so it need not be short.
+/// Longest wait of a watch call. It need not be short: gossip reveals versions
+/// that the watch of one node has missed, and regular listings those that all
+/// watches have missed.
 const MAX_WATCH_WAIT_MS: u64 = 25_000;
 
 /// Delay after a failed store call. Doubles with each further failure, since
@@ -55,14 +57,16 @@
     pub(super) watching: bool,
     /// Cleared to request another listing.
     pub(super) current: bool,
+    /// When the latest listing was sent.
+    list_sent: Millis,
     pub(super) retry_due: Millis,
     /// Consecutive failed calls.
     pub(super) failures: u32,
     /// When to fetch the document from a peer that has a later version; `None`
     /// if no peer has one.
     pub(super) fetch_due: Option<Millis>,
-    /// Whether a peer has been asked since `fetch_due` was first set.
-    pub(super) fetched: bool,
+    /// Number of fetches since a peer was found to have a later version.
+    pub(super) fetches: u32,
     /// Highest revision that gossip has shown.
     pub(super) heard: u64,
     /// Store revision of the latest listing.
@@ -77,10 +81,11 @@
             listing: false,
             watching: false,
             current: true,
+            list_sent: now,
             retry_due: now,
             failures: 0,
             fetch_due: None,
-            fetched: false,
+            fetches: 0,
             heard: 0,
             listed: 0,
         }
@@ -118,6 +123,7 @@
             if (feed.revision.is_none() || !feed.current) && !feed.listing {
                 feed.listing = true;
                 feed.current = true;
+                feed.list_sent = now;
                 let call = Call::List(kind);
                 out.push(Effect::Store { call, op: Op::List { kind } });
             }
@@ -132,6 +138,44 @@
         }
     }
 
+    /// Lists the operator's documents at regular intervals if this is the node
+    /// of its failure domain that checks them. A watch can stay silent or skip
+    /// a change without an error, on all nodes at once. Tables need no check,
+    /// since the node that writes one has it.
+    pub(super) fn check_documents(&mut self, now: Millis) {
+        let bounds = &self.settings.bounds;
+        let (config_ms, domains_ms) =
+            (bounds.config_check_ms(), bounds.domains_check_ms());
+        let mut due = Vec::new();
+        for (index, feed) in self.feeds.iter().enumerate() {
+            let interval_ms = match feed.kind {
+                ObjectKind::Config => config_ms,
+                ObjectKind::Domains => domains_ms,
+                ObjectKind::Nodes | ObjectKind::Tables => continue,
+            };
+            if !feed.listing && now.since(feed.list_sent) >= interval_ms {
+                due.push(index);
+            }
+        }
+        if due.is_empty() || !self.is_checking_node(now) {
+            return;
+        }
+        for index in due {
+            self.feeds[index].current = false;
+        }
+    }
+
+    /// Whether this node is the first live one of its failure domain by name.
+    /// With a node for each domain, a domain that is cut off from the others
+    /// still learns of changes.
+    fn is_checking_node(&self, now: Millis) -> bool {
+        let Settings { node: own, domain, .. } = &self.settings;
+        let mut earlier = self.directory.iter().filter(|(node, peer)| {
+            *node < own.as_str() && peer.gossip.domain == *domain
+        });
+        !earlier.any(|(node, _)| self.directory.is_live(node, now))
+    }
+
     pub(super) fn feed(&mut self, kind: ObjectKind) -> Option<&mut Feed> {
         self.feeds.iter_mut().find(|feed| feed.kind == kind)
     }
--- a/crates/core/src/fleet/peer_sync.rs
+++ b/crates/core/src/fleet/peer_sync.rs
@@ -108,7 +108,7 @@
             feed.heard = feed.heard.max(theirs);
             if feed.fetch_due.is_none() {
                 feed.fetch_due = Some(now.plus(FETCH_DELAY_MS));
-                feed.fetched = false;
+                feed.fetches = 0;
             }
         }
     }
@@ -142,9 +142,10 @@
             let heard = version_of(kind, &peer.gossip.versions);
             let feed = &mut self.feeds[index];
             feed.fetch_due = Some(now.plus(FETCH_RETRY_MS));
-            if std::mem::replace(&mut feed.fetched, true) {
+            if feed.fetches > 0 {
                 feed.list_if_behind(ours);
             }
+            feed.fetches += 1;
             out.push(Effect::Fetch { from, kind });
             // Tables change all the time, and their watch may be behind.
             if kind != ObjectKind::Tables {
--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -234,6 +234,7 @@
 
     fn tick(&mut self, now: Millis, out: &mut Vec<Effect>) {
         self.directory.tick(now);
+        self.check_documents(now);
         self.follow_feeds(now, out);
         self.renew(now, out);
         self.list_nodes(now, out);
--- a/crates/core/src/fleet/settings.rs
+++ b/crates/core/src/fleet/settings.rs
@@ -71,6 +71,10 @@
     /// Time within which a failure domain that is taken out of service must
     /// stop receiving requests, in milliseconds.
     pub evacuate_ms: Option<f64>,
+    /// Time within which a change of the configuration must be in force on all
+    /// nodes, in milliseconds.
+    #[serde(default)]
+    pub config_ms: Option<f64>,
     /// Interval between two announcements of an upstream, in milliseconds.
     pub announce_ms: Option<f64>,
 }
@@ -81,6 +85,24 @@
 /// Announcement interval if none is set.
 const ANNOUNCE_DEFAULT_MS: f64 = 1_000.0;
 
+/// Time within which a change of the configuration must be in force if none is
+/// set.
+const CONFIG_DEFAULT_MS: f64 = 2_000.0;
+
+/// Time within which a failure domain must stop receiving requests if none is
+/// set.
+const EVACUATE_DEFAULT_MS: f64 = 5_000.0;
+
+/// Interval between checks of the configuration, as a share of the time within
+/// which a change must be in force. The rest is for the listing, the gossip
+/// that tells the other nodes, and their fetch.
+const CONFIG_CHECK_RATIO: f64 = 0.5;
+
+/// Interval between checks of the failure domains out of service, as a share
+/// of the time within which they must stop receiving requests. Half of that
+/// time is for the node to learn of it.
+const DOMAINS_CHECK_RATIO: f64 = 0.3;
+
 /// Part of the drain period, at its end, in which an upstream is sent no
 /// requests: those sent before must have arrived.
 const DRAIN_MARGIN_MS: u64 = 500;
@@ -102,6 +124,21 @@
         (self.evacuate_ms.unwrap_or(0.0) / 2.0) as u64
     }
 
+    /// Interval at which the configuration is listed, in milliseconds.
+    #[must_use]
+    pub fn config_check_ms(&self) -> u64 {
+        let bound = self.config_ms.unwrap_or(CONFIG_DEFAULT_MS);
+        (bound * CONFIG_CHECK_RATIO) as u64
+    }
+
+    /// Interval at which the failure domains out of service are listed, in
+    /// milliseconds.
+    #[must_use]
+    pub fn domains_check_ms(&self) -> u64 {
+        let bound = self.evacuate_ms.unwrap_or(EVACUATE_DEFAULT_MS);
+        (bound * DOMAINS_CHECK_RATIO) as u64
+    }
+
     /// Interval between two announcements of an upstream, in milliseconds.
     #[must_use]
     pub fn announce_ms(&self) -> u64 {
@@ -123,7 +160,7 @@
     }
 
     /// All limits by name.
-    fn named(&self) -> [(&'static str, Option<f64>); 7] {
+    fn named(&self) -> [(&'static str, Option<f64>); 8] {
         [
             ("stop_s", self.stop_s),
             ("hold_ms", self.hold_ms),
@@ -131,6 +168,7 @@
             ("retry_share", self.retry_share),
             ("drain_ms", self.drain_ms),
             ("evacuate_ms", self.evacuate_ms),
+            ("config_ms", self.config_ms),
             ("announce_ms", self.announce_ms),
         ]
     }
--- a/crates/core/tests/fleet/configuration.rs
+++ b/crates/core/tests/fleet/configuration.rs
@@ -9,6 +9,10 @@
 /// Time within which a change of the configuration must be in force.
 const APPLY_MS: u64 = 2_000;
 
+/// Time within which a node must know that a domain is out of service; half of
+/// the time allowed for the whole.
+const OUT_KNOWN_MS: u64 = 2_500;
+
 /// Time within which gossip of a node has reached all others.
 const GOSSIP_MS: u64 = 250;
 
@@ -35,3 +39,61 @@
     sim.run(APPLY_MS - GOSSIP_MS);
     assert_eq!(sim.config_versions(), [2].into());
 }
+
+/// Guards against a change that no node hears of, since the watches of all are
+/// open and silent: it was in force after up to 26.5 s.
+#[test]
+fn a_change_that_no_watch_reports_is_in_force_in_time() {
+    for seed in 0..5 {
+        let mut sim = settled(6, seed);
+        sim.store_faults.watches = WatchFault::Silent(None);
+        let wait = sim.random(1_500);
+        sim.run(wait);
+        sim.publish_config(2);
+        sim.take_domain_out("d1");
+        sim.run(APPLY_MS);
+        assert_eq!(sim.config_versions(), [2].into(), "seed {seed}");
+        sim.run(OUT_KNOWN_MS - APPLY_MS);
+        let out = vec!["d1".to_owned()];
+        assert_eq!(sim.domains_out(), [out].into(), "seed {seed}");
+    }
+}
+
+/// Guards against a change that is skipped for good, since the watches are
+/// answered without it and go on behind it.
+#[test]
+fn a_change_that_all_watches_skip_is_in_force_in_time() {
+    let mut sim = settled(6, 1);
+    sim.store_faults.watches = WatchFault::Empty;
+    sim.publish_config(2);
+    sim.run(APPLY_MS);
+    assert_eq!(sim.config_versions(), [2].into());
+}
+
+/// Guards against a node that relies on peers for a change although it is cut
+/// off from them.
+#[test]
+fn a_node_without_peers_and_watch_has_a_change_in_time() {
+    let mut sim = settled(4, 1);
+    for index in 0..3 {
+        sim.kill_node(index);
+    }
+    sim.store_faults.watches = WatchFault::Silent(None);
+    sim.run(2_000);
+    sim.publish_config(2);
+    sim.run(APPLY_MS);
+    assert_eq!(sim.config_versions(), [2].into());
+}
+
+/// Guards against checks by each node: calls to the store are billed, and
+/// their number must not grow with the fleet.
+#[test]
+fn one_node_of_each_domain_checks_the_documents() {
+    let mut sim = settled(9, 1);
+    sim.run(3_000);
+    sim.lists = 0;
+    sim.run(15_000);
+    // Three domains, a listing of the configuration each second and one of
+    // the domains each 1.5 s; each node lists the others once or twice.
+    assert!(sim.lists <= 3 * (15 + 10) + 9 * 2, "{} lists", sim.lists);
+}
