Let the tracker of crash reports count for any kind of node

The limit of a group's leader stays at two crashes. No behaviour changes; the tests of requests and ownership of groups pass.

--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -13,7 +13,6 @@
 pub(crate) mod member;
 pub(crate) mod parts;
 pub mod placement;
-pub(crate) mod poison;
 mod receive;
 pub(crate) mod record_client;
 pub mod rules;
--- a/crates/core/src/group/leader.rs
+++ b/crates/core/src/group/leader.rs
@@ -24,17 +24,20 @@
 use crate::group::parts::{
     PartCollector, append_owner, join_detail, split_map, split_plan,
 };
-use crate::group::poison::PoisonTracker;
 use crate::group::rules;
 use crate::id::{
     Epoch, Fence, GroupId, Incarnation, KeyHash, NodeAddr, Shard, domain_hash,
 };
+use crate::request::poison_tracker::PoisonTracker;
 use crate::status::MemberStatus;
 
 /// Silence after which a member receives no further shards: two heartbeats and
 /// some delay.
 const MEMBER_SILENCE_MS: u64 = 2 * HEARTBEAT_INTERVAL_MS + 100;
 
+/// Number of crashes after which requests of a fingerprint are refused.
+const QUARANTINE_CRASH_COUNT: u32 = 2;
+
 /// Interval at which placement is recomputed when nothing was reported. Bounds
 /// the delay until the end of a lease is noticed.
 const RECONCILE_INTERVAL_MS: u64 = 50;
@@ -174,7 +177,7 @@
     dirty: bool,
     next_reconcile: Millis,
     standbys: Vec<NodeAddr>,
-    poison: PoisonTracker,
+    poison: PoisonTracker<NodeAddr>,
     promises: BTreeMap<NodeAddr, standbys::PromiseState>,
     /// When the next promise requests are due.
     next_request: Millis,
@@ -217,7 +220,7 @@
             dirty: true,
             next_reconcile: now,
             standbys: Vec::new(),
-            poison: PoisonTracker::default(),
+            poison: PoisonTracker::new(QUARANTINE_CRASH_COUNT),
             promises: BTreeMap::new(),
             next_request: now,
             lost_since: None,
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -30,6 +30,7 @@
 pub mod hot_keys;
 mod lifecycle;
 pub mod poison;
+pub(crate) mod poison_tracker;
 pub mod retry;
 
 /// How long an upstream may be unreachable before its shards move, so that a
--- a/crates/core/src/group/poison.rs
+++ b/crates/core/src/request/poison_tracker.rs
@@ -1,12 +1,9 @@
-//! Detection of requests that crash upstreams, at the group's leader.
+//! Detection of requests that crash upstreams, from the reports of many nodes.
 
 use std::collections::BTreeMap;
 
 use crate::clock::Millis;
-use crate::id::{Fingerprint, NodeAddr};
-
-/// Number of crashes after which requests of a fingerprint are refused.
-const QUARANTINE_CRASH_COUNT: u32 = 2;
+use crate::id::Fingerprint;
 
 /// Time for which such requests are refused after the last crash, and for
 /// which crashes are remembered.
@@ -16,26 +13,40 @@
 /// entry takes up to 10 bytes of a datagram.
 const MAX_QUARANTINE_COUNT: usize = 16;
 
-/// Counts crashes by the fingerprints of the requests that were in flight.
-#[derive(Debug, Default)]
-pub(crate) struct PoisonTracker {
-    reported: BTreeMap<NodeAddr, BTreeMap<Fingerprint, u32>>,
+/// Counts crashes by the fingerprints of the requests that were in flight. `N`
+/// identifies a node that reports them.
+#[derive(Debug)]
+pub(crate) struct PoisonTracker<N> {
+    /// Number of crashes after which requests of a fingerprint are refused.
+    crash_limit: u32,
+    reported: BTreeMap<N, BTreeMap<Fingerprint, u32>>,
     crashes: BTreeMap<Fingerprint, (u32, Millis)>,
     refused: Vec<Fingerprint>,
 }
 
-impl PoisonTracker {
+impl<N: Ord> PoisonTracker<N> {
+    /// A tracker that refuses requests of a fingerprint after `crash_limit`
+    /// crashes.
+    pub(crate) fn new(crash_limit: u32) -> Self {
+        Self {
+            crash_limit,
+            reported: BTreeMap::new(),
+            crashes: BTreeMap::new(),
+            refused: Vec::new(),
+        }
+    }
+
     /// Fingerprints of the requests to refuse, in ascending order.
     pub(crate) fn refused(&self) -> &[Fingerprint] {
         &self.refused
     }
 
-    /// Counts the crashes in a member's list of suspects. Entries that were in
+    /// Counts the crashes in a node's list of suspects. Entries that were in
     /// its previous report are not counted again. Returns newly refused
     /// fingerprints.
     pub(crate) fn report(
         &mut self,
-        node: NodeAddr,
+        node: N,
         suspects: &[Fingerprint],
         now: Millis,
     ) -> Vec<Fingerprint> {
@@ -55,12 +66,10 @@
         self.update_refused(now)
     }
 
-    /// Adopts the fingerprints that an earlier leader refused.
+    /// Adopts the fingerprints that another tracker refuses.
     pub(crate) fn inherit(&mut self, refused: &[Fingerprint], now: Millis) {
         for &fingerprint in refused {
-            self.crashes
-                .entry(fingerprint)
-                .or_insert((QUARANTINE_CRASH_COUNT, now));
+            self.crashes.entry(fingerprint).or_insert((self.crash_limit, now));
         }
         self.update_refused(now);
     }
@@ -73,7 +82,7 @@
         let mut harmful: Vec<(Millis, Fingerprint)> = self
             .crashes
             .iter()
-            .filter(|(_, c)| c.0 >= QUARANTINE_CRASH_COUNT)
+            .filter(|(_, c)| c.0 >= self.crash_limit)
             .map(|(&fingerprint, c)| (c.1, fingerprint))
             .collect();
         harmful.sort();
@@ -91,8 +100,8 @@
         new
     }
 
-    /// Forgets the last report of a lost member; its crashes still count.
-    pub(crate) fn forget_member(&mut self, node: NodeAddr) {
-        self.reported.remove(&node);
+    /// Forgets the last report of a lost node; its crashes still count.
+    pub(crate) fn forget_node(&mut self, node: &N) {
+        self.reported.remove(node);
     }
 }
