Tell restarted nodes which requests crash upstreams

Cause: a node that restarts has lost its record of crashes, and its peers report only the crashes of the last 10 s. A harmful request that arrives there is sent to three more upstreams before the node refuses it.

Evidence: a_node_that_restarts_is_told_of_harmful_requests; before, the new process sends the request on (`left: None right: Some(Poisoned)`).

Change: a node that has found a request harmful names it in each report three times, which is what a receiver needs to refuse it. Nodes of the earlier build count the same way, so the format of gossip stays as it is. What a node was only told it does not report, or nodes would go on telling each other for good: what_a_node_was_told_is_not_told_again. A report names eight harmful requests at most; the_longest_report_fits_into_a_datagram.

Not covered: a restart of all nodes at once.

--- a/crates/core/src/fleet/crash_memory.rs
+++ b/crates/core/src/fleet/crash_memory.rs
@@ -6,6 +6,13 @@
 //! crash. A request that was running at [`CRASH_LIMIT_COUNT`] crashes is
 //! harmful. An answer clears a request, because a frequent one is running at
 //! many crashes.
+//!
+//! A node that finds a request harmful names it in its reports as often as the
+//! limit says, so that nodes that have restarted since the crashes learn of
+//! it. What a node has only been told it does not report, or no request would
+//! ever be forgotten.
+
+use std::collections::BTreeMap;
 
 use crate::clock::Millis;
 use crate::id::Fingerprint;
@@ -16,9 +23,29 @@
 /// harmful.
 const CRASH_LIMIT_COUNT: u32 = 3;
 
+/// Time for which a request is refused after it has been found harmful.
+const HARMFUL_MS: u64 = 600_000;
+
+/// Most harmful requests that are remembered.
+const MAX_HARMFUL_COUNT: usize = 64;
+
+/// Most harmful requests that a report names. A datagram has 1,200 bytes, and
+/// each takes up to 30 of them.
+const MAX_REPORTED_COUNT: usize = 8;
+
 /// Identifies the process of a node: its name and incarnation.
 type Process = (String, u64);
 
+/// A request that must not be sent to an upstream.
+#[derive(Clone, Copy, Debug)]
+struct Harmful {
+    /// When it is forgotten.
+    until: Millis,
+    /// Whether this node has counted the crashes, rather than being told of
+    /// the result.
+    counted: bool,
+}
+
 /// Requests that may have crashed upstreams, here and at other nodes.
 #[derive(Debug)]
 pub(super) struct CrashMemory {
@@ -26,18 +53,20 @@
     own: Suspects,
     /// Crashes of all upstreams.
     tracker: PoisonTracker<Process>,
+    harmful: BTreeMap<Fingerprint, Harmful>,
 }
 
 impl CrashMemory {
     pub(super) fn new() -> Self {
         let tracker = PoisonTracker::new(CRASH_LIMIT_COUNT);
-        Self { own: Suspects::new(), tracker }
+        Self { own: Suspects::new(), tracker, harmful: BTreeMap::new() }
     }
 
     /// Records that an upstream, here or at another node, answered a request.
     pub(super) fn record_answer(&mut self, request: Fingerprint, now: Millis) {
         self.own.record_answer(request, now);
         self.tracker.forget(request);
+        self.harmful.remove(&request);
     }
 
     /// Records that the connection was lost on which a request ran.
@@ -53,7 +82,8 @@
         now: Millis,
     ) -> Vec<Fingerprint> {
         let suspects = self.own.record_crash(running, now);
-        self.tracker.record(suspects, now)
+        let counted = self.tracker.record(suspects, now);
+        self.add_harmful(counted, true, now)
     }
 
     /// Counts the crashes that a node reports. Returns the requests that are
@@ -67,14 +97,76 @@
         if suspects.is_empty() && !self.tracker.has_report(&process) {
             return Vec::new();
         }
-        let mut unanswered = suspects.to_vec();
-        unanswered.retain(|&s| !self.own.answered_recently(s, now));
-        self.tracker.report(process, &unanswered, now)
+        let mut suspects = suspects.to_vec();
+        suspects.retain(|&s| !self.own.answered_recently(s, now));
+        let occurrences = |request: Fingerprint| {
+            suspects.iter().filter(|&&s| s == request).count()
+        };
+        let (told, counted): (Vec<_>, Vec<_>) =
+            suspects.iter().partition(|&&suspect| {
+                occurrences(suspect) >= CRASH_LIMIT_COUNT as usize
+            });
+        let counted = self.tracker.report(process, &counted, now);
+        let mut new = self.add_harmful(counted, true, now);
+        new.extend(self.add_harmful(told, false, now));
+        new
+    }
+
+    /// Adds harmful requests and returns those that were not known.
+    fn add_harmful(
+        &mut self,
+        requests: Vec<Fingerprint>,
+        counted: bool,
+        now: Millis,
+    ) -> Vec<Fingerprint> {
+        let until = now.plus(HARMFUL_MS);
+        let mut new = Vec::new();
+        for request in requests {
+            let known = self.harmful.get(&request);
+            if known
+                .is_some_and(|old| old.until > now && old.counted >= counted)
+            {
+                continue;
+            }
+            self.harmful.insert(request, Harmful { until, counted });
+            new.push(request);
+        }
+        self.harmful.retain(|_, entry| entry.until > now);
+        while self.harmful.len() > MAX_HARMFUL_COUNT {
+            let oldest = self.harmful.iter().min_by_key(|(_, h)| h.until);
+            let Some((&oldest, _)) = oldest else { break };
+            self.harmful.remove(&oldest);
+        }
+        new
     }
 
-    /// The requests that were running at recent crashes of the local upstream.
+    /// What the other nodes are told: the requests that were running at recent
+    /// crashes of the local upstream, each once for each crash, and those that
+    /// this node has found harmful, as often as [`CRASH_LIMIT_COUNT`].
     pub(super) fn report(&self, now: Millis) -> Vec<Fingerprint> {
-        self.own.report(now)
+        let mut report = self.own.report(now);
+        for request in self.found_harmful(now) {
+            let times = CRASH_LIMIT_COUNT as usize;
+            report.extend(std::iter::repeat_n(request, times));
+        }
+        report
+    }
+
+    /// The requests that this node has found harmful, the latest first, at
+    /// most [`MAX_REPORTED_COUNT`].
+    fn found_harmful(
+        &self,
+        now: Millis,
+    ) -> impl Iterator<Item = Fingerprint> + use<> {
+        let mut found: Vec<(Millis, Fingerprint)> = Vec::new();
+        for (&request, entry) in &self.harmful {
+            if entry.counted && entry.until > now {
+                found.push((entry.until, request));
+            }
+        }
+        found.sort();
+        let latest = found.into_iter().rev().take(MAX_REPORTED_COUNT);
+        latest.map(|(_, request)| request)
     }
 
     /// Whether a request must not be sent to an upstream.
@@ -84,6 +176,6 @@
         now: Millis,
     ) -> bool {
         self.own.is_harmful(request, now)
-            || self.tracker.is_harmful(request, now)
+            || self.harmful.get(&request).is_some_and(|h| h.until > now)
     }
 }
--- a/crates/core/src/request/poison_tracker.rs
+++ b/crates/core/src/request/poison_tracker.rs
@@ -92,17 +92,6 @@
         self.crashes.remove(&request);
     }
 
-    /// Whether a request was running at as many crashes as the limit allows.
-    pub(crate) fn is_harmful(
-        &self,
-        request: Fingerprint,
-        now: Millis,
-    ) -> bool {
-        self.crashes.get(&request).is_some_and(|&(count, last)| {
-            count >= self.crash_limit && now.since(last) < QUARANTINE_MS
-        })
-    }
-
     /// Whether the last report of a node named any suspect.
     pub(crate) fn has_report(&self, node: &N) -> bool {
         self.reported.contains_key(node)
--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -1,6 +1,10 @@
 //! Requests that crash upstreams are recognized wherever they return, and are
 //! sent to no further upstream.
 
+use lagoondyke_core::fleet::effect::Effect;
+use lagoondyke_core::fleet::event::Event;
+use lagoondyke_core::fleet::gossip::MAX_GOSSIP_BYTES;
+use lagoondyke_core::fleet::upstream::Phase;
 use lagoondyke_core::id::Fingerprint;
 use lagoondyke_core::verdict::Reason;
 
@@ -12,6 +16,9 @@
 /// Time after which nodes no longer report the suspects of a crash.
 const REPORTS_OVER_MS: u64 = 11_000;
 
+/// Time after which the next gossip is due.
+const GOSSIP_INTERVAL_MS: u64 = 200;
+
 /// A node that has been told of three crashes under the request, by one node
 /// each.
 fn told_of_three_crashes() -> Harness {
@@ -74,3 +81,73 @@
     }
     assert_eq!(refusal_reason(&mut harness), None);
 }
+
+/// What the node tells its peers with the next gossip.
+fn reported_suspects(harness: &mut Harness) -> Vec<Fingerprint> {
+    harness.now += GOSSIP_INTERVAL_MS;
+    let out = harness.step(Event::Tick);
+    let suspects = out.into_iter().find_map(|effect| match effect {
+        Effect::Send { gossip, .. } => Some(gossip.suspects),
+        _ => None,
+    });
+    suspects.expect("gossip is due")
+}
+
+/// Guards against a node that forgets harmful requests when it restarts: its
+/// peers must tell it, also long after the crashes.
+#[test]
+fn a_node_that_restarts_is_told_of_harmful_requests() {
+    let mut peer = told_of_three_crashes();
+    peer.now += REPORTS_OVER_MS;
+    let told = reported_suspects(&mut peer);
+    let mut harness = Harness::new();
+    harness.fingerprint = Some(HARMFUL);
+    assert_eq!(refusal_reason(&mut harness), None);
+    harness.gossip_with(2, "k", &told);
+    assert_eq!(refusal_reason(&mut harness), Some(Reason::Poisoned));
+}
+
+/// Guards against knowledge that never ends, since nodes go on to tell each
+/// other what they were told.
+#[test]
+fn what_a_node_was_told_is_not_told_again() {
+    let mut peer = told_of_three_crashes();
+    let told = reported_suspects(&mut peer);
+    let mut harness = Harness::new();
+    harness.gossip_with(2, "k", &told);
+    assert!(!told.is_empty());
+    assert_eq!(reported_suspects(&mut harness), []);
+}
+
+/// Guards against a datagram that is dropped since it is too large: the node
+/// would count as lost after its upstream has crashed.
+#[test]
+fn the_longest_report_fits_into_a_datagram() {
+    let mut harness = Harness::new();
+    harness.announce(Phase::Ready, 100);
+    for index in 0..20 {
+        harness.fingerprint = Some(Fingerprint(u64::MAX - index));
+        for node in 1..=3 {
+            let suspect = [Fingerprint(u64::MAX - index)];
+            harness.gossip_with(node, "k", &suspect);
+        }
+    }
+    for index in 100..200 {
+        harness.fingerprint = Some(Fingerprint(u64::MAX - index));
+        harness.peer_request(0, 5_000);
+    }
+    harness.step(Event::UpstreamDown);
+    harness.now += GOSSIP_INTERVAL_MS;
+    let out = harness.step(Event::Tick);
+    let gossip = out.into_iter().find_map(|effect| match effect {
+        Effect::Send { gossip, .. } => Some(gossip),
+        _ => None,
+    });
+    let mut gossip = gossip.expect("gossip is due");
+    assert_eq!(gossip.suspects.len(), 48 + 8 * 3);
+    gossip.node = "n".repeat(64);
+    gossip.domain = "d".repeat(64);
+    gossip.service = "s".repeat(64);
+    let bytes = gossip.encode().expect("gossip can be encoded");
+    assert!(bytes.len() <= MAX_GOSSIP_BYTES, "{} bytes", bytes.len());
+}
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -51,15 +51,19 @@
     }
 
     pub fn with(settings: Settings) -> Self {
-        let mut harness = Self::unconfigured(settings);
+        Self::unconfigured(settings).configured()
+    }
+
+    /// The node once it knows the configuration and the tables.
+    fn configured(mut self) -> Self {
         let call = Call::List(ObjectKind::Config);
         let outcome = listed("main", Value::Config(Box::new(config())));
-        harness.step(Event::StoreDone { call, outcome });
+        self.step(Event::StoreDone { call, outcome });
         let share = Share { node: "n1".to_owned(), slots: 1 };
         let call = Call::List(ObjectKind::Tables);
         let outcome = listed("k", Value::Table(Table::proportional(&[share])));
-        harness.step(Event::StoreDone { call, outcome });
-        harness
+        self.step(Event::StoreDone { call, outcome });
+        self
     }
 
     pub fn step(&mut self, event: Event) -> Vec<Effect> {
