Keep harmful requests in the nodes' records in the store

Cause: what nodes know of crashes is in their memory only. After all of them have lost power or were killed at once, nobody is left to tell the others, and a harmful request crashes three more upstreams.

Evidence: a_fleet_that_restarts_as_a_whole_knows_harmful_requests; before, the new process sends the request on (`left: None right: Some(Poisoned)`).

Change: a node's record, which it renews anyway, names up to eight requests that the node has found harmful, with the time for which they are refused. A process reads its own record before it renews it, and lists those of the others at its start, so no call is added; a node without keys, which renews every 10 s, renews at once when the list grows. A node that revokes another's lease writes its own list into that record.

The field is left out while there is nothing to name. Nodes of the earlier build reject a record that has it: they do not read addresses from such a record, and still read its revision. Until all nodes run this build, gossip gives the addresses.

--- a/crates/core/src/fleet/crash_memory.rs
+++ b/crates/core/src/fleet/crash_memory.rs
@@ -10,11 +10,13 @@
 //! A node that finds a request harmful names it in its reports as often as the
 //! limit says, so that nodes that have restarted since the crashes learn of
 //! it. What a node has only been told it does not report, or no request would
-//! ever be forgotten.
+//! ever be forgotten. Its record in the store names them as well, for a restart
+//! of all nodes at once.
 
 use std::collections::BTreeMap;
 
 use crate::clock::Millis;
+use crate::fleet::lease::HarmfulRequest;
 use crate::id::Fingerprint;
 use crate::request::poison::Suspects;
 use crate::request::poison_tracker::PoisonTracker;
@@ -54,12 +56,20 @@
     /// Crashes of all upstreams.
     tracker: PoisonTracker<Process>,
     harmful: BTreeMap<Fingerprint, Harmful>,
+    /// Whether this node has found a request harmful that its record in the
+    /// store does not name yet.
+    unrecorded: bool,
 }
 
 impl CrashMemory {
     pub(super) fn new() -> Self {
         let tracker = PoisonTracker::new(CRASH_LIMIT_COUNT);
-        Self { own: Suspects::new(), tracker, harmful: BTreeMap::new() }
+        Self {
+            own: Suspects::new(),
+            tracker,
+            harmful: BTreeMap::new(),
+            unrecorded: false,
+        }
     }
 
     /// Records that an upstream, here or at another node, answered a request.
@@ -129,15 +139,22 @@
                 continue;
             }
             self.harmful.insert(request, Harmful { until, counted });
+            self.unrecorded |= counted;
             new.push(request);
         }
+        self.drop_excess(now);
+        new
+    }
+
+    /// Forgets the requests whose time is over, and the earliest ones beyond
+    /// [`MAX_HARMFUL_COUNT`].
+    fn drop_excess(&mut self, now: Millis) {
         self.harmful.retain(|_, entry| entry.until > now);
         while self.harmful.len() > MAX_HARMFUL_COUNT {
             let oldest = self.harmful.iter().min_by_key(|(_, h)| h.until);
             let Some((&oldest, _)) = oldest else { break };
             self.harmful.remove(&oldest);
         }
-        new
     }
 
     /// What the other nodes are told: the requests that were running at recent
@@ -169,6 +186,45 @@
         latest.map(|(_, request)| request)
     }
 
+    /// The requests that this node has found harmful, for its record in the
+    /// store, with the time for which they are still refused.
+    pub(super) fn recorded(&self, now: Millis) -> Vec<HarmfulRequest> {
+        let mut recorded = Vec::new();
+        for request in self.found_harmful(now) {
+            let Some(entry) = self.harmful.get(&request) else { continue };
+            let left_ms = entry.until.since(now);
+            recorded.push(HarmfulRequest { request, left_ms });
+        }
+        recorded
+    }
+
+    /// Adopts the requests in a node's record. They were counted before the
+    /// node restarted, so they are reported as if this process had counted
+    /// them.
+    pub(super) fn adopt_record(
+        &mut self,
+        recorded: &[HarmfulRequest],
+        now: Millis,
+    ) {
+        for &HarmfulRequest { request, left_ms } in recorded {
+            let until = now.plus(left_ms.min(HARMFUL_MS));
+            let entry = Harmful { until, counted: true };
+            self.harmful.entry(request).or_insert(entry);
+        }
+        self.drop_excess(now);
+    }
+
+    /// Whether the node's record does not name all requests that the node has
+    /// found harmful.
+    pub(super) fn is_unrecorded(&self) -> bool {
+        self.unrecorded
+    }
+
+    /// Notes that the node's record is being written.
+    pub(super) fn set_recorded(&mut self) {
+        self.unrecorded = false;
+    }
+
     /// Whether a request must not be sent to an upstream.
     pub(super) fn is_harmful(
         &self,
--- a/crates/core/src/fleet/documents.rs
+++ b/crates/core/src/fleet/documents.rs
@@ -452,6 +452,8 @@
         let StoreOutcome::Listed { items, .. } = outcome else { return };
         for item in items {
             let Some(Value::Node(record)) = item.value else { continue };
+            let crashes = &mut self.requests.crashes;
+            crashes.adopt_record(&record.harmful, now);
             if item.name == self.settings.node || record.revoked {
                 continue;
             }
--- a/crates/core/src/fleet/lease.rs
+++ b/crates/core/src/fleet/lease.rs
@@ -23,6 +23,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
+use crate::id::Fingerprint;
 
 /// Duration of a lease. Long enough to survive a store outage of 4.5 s, a
 /// usual one on the users' platform, including the renewal interval before it.
@@ -82,6 +83,21 @@
     /// Set by the node that takes over. The owner writes a new record
     /// afterwards.
     pub revoked: bool,
+    /// Requests that crash upstreams, which must outlast a restart of all
+    /// nodes.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub harmful: Vec<HarmfulRequest>,
+}
+
+/// A request that crashes upstreams.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct HarmfulRequest {
+    /// Fingerprint of the request.
+    pub request: Fingerprint,
+    /// Time for which it is refused from when the record is written, in
+    /// milliseconds.
+    pub left_ms: u64,
 }
 
 /// This node's own lease.
--- a/crates/core/src/fleet/renewal.rs
+++ b/crates/core/src/fleet/renewal.rs
@@ -36,7 +36,9 @@
         if self.renewal.pending || now < self.renewal.due {
             return;
         }
-        let idle = self.needs_no_lease() && self.term > 0;
+        let idle = self.needs_no_lease()
+            && self.term > 0
+            && !self.requests.crashes.is_unrecorded();
         if idle && now < self.renewal.sent.plus(RENEWAL_INTERVAL_IDLE_MS) {
             return;
         }
@@ -49,6 +51,7 @@
             return;
         }
         self.renewal_count += 1;
+        self.requests.crashes.set_recorded();
         let value = Value::Node(Record {
             incarnation: self.incarnation,
             count: self.renewal_count,
@@ -56,6 +59,7 @@
             domain: self.settings.domain.clone(),
             service: self.settings.service.clone(),
             revoked: false,
+            harmful: self.requests.crashes.recorded(now),
         });
         let expect = self.lease.revision;
         let op = Op::Update { kind, name, expect, value };
@@ -149,6 +153,10 @@
     ) {
         if !self.is_own_record(item) {
             // The record is that of an earlier process, or has been revoked.
+            if let Some(Value::Node(record)) = &item.value {
+                let crashes = &mut self.requests.crashes;
+                crashes.adopt_record(&record.harmful, now);
+            }
             self.renewal.record_known = true;
             self.lease.revision = item.revision;
             return;
--- a/crates/core/src/fleet/takeover.rs
+++ b/crates/core/src/fleet/takeover.rs
@@ -109,7 +109,9 @@
         let kind = ObjectKind::Nodes;
         let due = now.plus(TAKEOVER_RETRY_MS);
         let (call, op) = if let Some(known) = takeover.lease {
-            let record = Record { revoked: true, ..Record::default() };
+            let harmful = self.requests.crashes.recorded(now);
+            let record =
+                Record { revoked: true, harmful, ..Record::default() };
             let op = Op::Update {
                 kind,
                 name: name.clone(),
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -41,8 +41,12 @@
 
     /// A node that has just started and knows no document.
     pub fn unconfigured(settings: Settings) -> Self {
+        Self::started(settings, 1)
+    }
+
+    fn started(settings: Settings, incarnation: u64) -> Self {
         Self {
-            fleet: Fleet::new(settings, 1, 7, Millis(1_000)),
+            fleet: Fleet::new(settings, incarnation, 7, Millis(1_000)),
             now: 1_000,
             fingerprint: None,
             next_ticket: 1,
@@ -54,6 +58,11 @@
         Self::unconfigured(settings).configured()
     }
 
+    /// A process of the node with this incarnation.
+    pub fn with_incarnation(incarnation: u64) -> Self {
+        Self::started(settings(0), incarnation).configured()
+    }
+
     /// The node once it knows the configuration and the tables.
     fn configured(mut self) -> Self {
         let call = Call::List(ObjectKind::Config);
