Notice the crash of an upstream that drains or is back at once

Cause: a node took only a refused connection for a crash, and only while its upstream was ready. It recorded nothing if the upstream was draining, or if a new instance answered on the address before anything tried to connect. Such crashes did not count towards the three after which a request is refused.

Evidence: a_crash_while_draining_is_recorded and an_upstream_that_is_back_at_once_has_crashed; before, neither reports a suspect (`left: [] right: [Fingerprint(66)]`).

Change: a refused connection counts unless the upstream was found down before or has left, and so does the announcement of a new instance whose predecessor was neither down nor had left. `upstream has crashed` is logged with their number. A crash counts once (a_crash_is_recorded_once), a planned exit does not count (an_upstream_that_has_left_has_not_crashed); both passed before.

Not covered: a crash while the node is down too, and one after which the upstream is silent and never returns.

--- a/crates/core/src/fleet/announce.rs
+++ b/crates/core/src/fleet/announce.rs
@@ -24,6 +24,9 @@
     ) {
         let ignored = self.mismatch(announcement);
         let was_leaving = self.upstream.is_leaving();
+        // One that was found down has been recorded as crashed already.
+        let was_up = self.upstream.is_up() && !self.upstream.has_left();
+        let since = self.upstream.announced_at();
         let recency = match ignored {
             Some(_) => Recency::Stale,
             None => self.upstream.apply_announcement(announcement, now),
@@ -38,6 +41,9 @@
             return;
         }
         if recency == Recency::NewInstance {
+            if was_up {
+                self.record_crash(since, now, out);
+            }
             self.requests.upstream_restarted();
             let id = announcement.instance.id.clone();
             out.push(Effect::Notice(Notice::UpstreamStarted { id }));
@@ -165,12 +171,13 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        if !self.upstream.is_ready() {
+        if !self.upstream.is_up() {
             return;
         }
         self.upstream.set_unreachable();
         self.gossip_due = now;
-        self.record_crash(now, out);
+        out.push(Effect::Notice(Notice::UpstreamDown));
+        self.record_crash(self.upstream.announced_at(), now, out);
         self.refuse_queued(now, out);
     }
 }
--- a/crates/core/src/fleet/crash_memory.rs
+++ b/crates/core/src/fleet/crash_memory.rs
@@ -13,7 +13,7 @@
 //! ever be forgotten. Its record in the store names them as well, for a restart
 //! of all nodes at once.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::clock::Millis;
 use crate::fleet::lease::HarmfulRequest;
@@ -25,6 +25,9 @@
 /// harmful.
 const CRASH_LIMIT_COUNT: u32 = 3;
 
+/// Most requests that are remembered because they ended without an answer.
+const MAX_LOST_COUNT: usize = 48;
+
 /// Time for which a request is refused after it has been found harmful.
 const HARMFUL_MS: u64 = 600_000;
 
@@ -53,6 +56,8 @@
 pub(super) struct CrashMemory {
     /// Crashes of the local upstream.
     own: Suspects,
+    /// Requests that ended at the local upstream without an answer.
+    lost: VecDeque<(Fingerprint, Millis)>,
     /// Crashes of all upstreams.
     tracker: PoisonTracker<Process>,
     harmful: BTreeMap<Fingerprint, Harmful>,
@@ -66,6 +71,7 @@
         let tracker = PoisonTracker::new(CRASH_LIMIT_COUNT);
         Self {
             own: Suspects::new(),
+            lost: VecDeque::new(),
             tracker,
             harmful: BTreeMap::new(),
             unrecorded: false,
@@ -79,21 +85,31 @@
         self.harmful.remove(&request);
     }
 
-    /// Records that the connection was lost on which a request ran.
+    /// Records that a request ended at the local upstream without an answer.
     pub(super) fn record_lost(&mut self, request: Fingerprint, now: Millis) {
-        self.own.record_lost(request, now);
+        if self.lost.len() >= MAX_LOST_COUNT {
+            self.lost.pop_front();
+        }
+        self.lost.push_back((request, now));
     }
 
     /// Records a crash of the local upstream while these requests were
-    /// running. Returns the requests that are now harmful.
+    /// running. Requests that have ended without an answer after `since`, when
+    /// the upstream was still up, are suspects as well. Returns the number of
+    /// suspects, and the requests that are now harmful.
     pub(super) fn record_crash(
         &mut self,
         running: Vec<Fingerprint>,
+        since: Millis,
         now: Millis,
-    ) -> Vec<Fingerprint> {
-        let suspects = self.own.record_crash(running, now);
+    ) -> (usize, Vec<Fingerprint>) {
+        let lost = std::mem::take(&mut self.lost);
+        let lost = lost.into_iter().filter(|lost| lost.1 >= since);
+        let all = running.into_iter().chain(lost.map(|lost| lost.0));
+        let suspects = self.own.record_crash(all, now);
+        let count = suspects.len();
         let counted = self.tracker.record(suspects, now);
-        self.add_harmful(counted, true, now)
+        (count, self.add_harmful(counted, true, now))
     }
 
     /// Counts the crashes that a node reports. Returns the requests that are
--- a/crates/core/src/fleet/effect.rs
+++ b/crates/core/src/fleet/effect.rs
@@ -275,9 +275,10 @@
         id: String,
     },
     /// The upstream cannot be reached.
-    UpstreamDown {
-        /// Number of requests that were running, which are suspected to have
-        /// crashed it.
+    UpstreamDown,
+    /// The upstream has crashed.
+    UpstreamCrashed {
+        /// Number of requests that may have crashed it.
         suspects: usize,
     },
     /// A request was running at so many crashes of upstreams that it is refused
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -260,10 +260,12 @@
         }
     }
 
-    /// Records the requests that were running when the upstream crashed as
-    /// suspects.
+    /// Records a crash of the upstream, whose last announcement arrived at
+    /// `since`: the requests that were running, and those that have ended
+    /// without an answer since then, are suspects.
     pub(in crate::fleet) fn record_crash(
         &mut self,
+        since: Millis,
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
@@ -273,9 +275,9 @@
                 running.push(entry.fingerprint);
             }
         }
-        let suspects = running.len();
-        out.push(Effect::Notice(Notice::UpstreamDown { suspects }));
-        let harmful = self.requests.crashes.record_crash(running, now);
+        let crashes = &mut self.requests.crashes;
+        let (suspects, harmful) = crashes.record_crash(running, since, now);
+        out.push(Effect::Notice(Notice::UpstreamCrashed { suspects }));
         notify_harmful(harmful, out);
     }
 
--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -6,9 +6,9 @@
 use lagoondyke_core::fleet::gossip::MAX_GOSSIP_BYTES;
 use lagoondyke_core::fleet::upstream::Phase;
 use lagoondyke_core::id::Fingerprint;
-use lagoondyke_core::verdict::Reason;
+use lagoondyke_core::verdict::{Reason, Refusal};
 
-use crate::requests::{Harness, forwards, refusal};
+use crate::requests::{Harness, dispatches, forwards, refusal, refused};
 
 /// Fingerprint of the request that crashes upstreams.
 const HARMFUL: Fingerprint = Fingerprint(66);
@@ -182,3 +182,56 @@
     let told = reported_suspects(&mut harness);
     assert!(told.contains(&HARMFUL), "its peers are told");
 }
+
+/// A node whose upstream runs the harmful request for a peer.
+fn running_it() -> Harness {
+    let mut harness = Harness::new();
+    harness.gossip(1, "k");
+    harness.announce(Phase::Ready, 4);
+    harness.fingerprint = Some(HARMFUL);
+    assert_eq!(dispatches(&harness.peer_request(0, 5_000)), 1);
+    harness
+}
+
+/// Guards against the crash of a draining upstream that is not recorded.
+#[test]
+fn a_crash_while_draining_is_recorded() {
+    let mut harness = running_it();
+    harness.announce(Phase::Draining, 4);
+    harness.step(Event::UpstreamDown);
+    assert_eq!(reported_suspects(&mut harness), [HARMFUL]);
+}
+
+/// Guards against a crash that is not recorded since the upstream is back
+/// before anything finds it down.
+#[test]
+fn an_upstream_that_is_back_at_once_has_crashed() {
+    let mut harness = running_it();
+    harness.upstream_done(1, refused(Reason::ConnectionLost));
+    harness.now += 3_000;
+    harness.announce_instance("u0", 2);
+    assert_eq!(reported_suspects(&mut harness), [HARMFUL]);
+}
+
+/// Guards against a crash that counts twice: once when connections are
+/// refused, and again when the next instance announces itself.
+#[test]
+fn a_crash_is_recorded_once() {
+    let mut harness = running_it();
+    harness.step(Event::UpstreamDown);
+    harness.upstream_done(1, refused(Reason::ConnectionLost));
+    harness.now += 800;
+    harness.announce_instance("u0", 2);
+    assert_eq!(reported_suspects(&mut harness), [HARMFUL]);
+}
+
+/// Guards against an upstream that has left as planned and counts as crashed.
+#[test]
+fn an_upstream_that_has_left_has_not_crashed() {
+    let mut harness = running_it();
+    harness.upstream_done(1, Err(Refusal::new(Reason::AnswerCut, "")));
+    harness.step(Event::UpstreamLeft { id: "u0".to_owned() });
+    harness.now += 800;
+    harness.announce_instance("u1", 2);
+    assert_eq!(reported_suspects(&mut harness), []);
+}
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -113,9 +113,29 @@
     }
 
     pub fn announce(&mut self, phase: Phase, slots: u16) -> Vec<Effect> {
+        let instance = Instance { id: "u0".to_owned(), started_ms: 1 };
+        self.announce_state(instance, phase, slots)
+    }
+
+    /// The upstream announces itself as this instance.
+    pub fn announce_instance(
+        &mut self,
+        id: &str,
+        started_ms: u64,
+    ) -> Vec<Effect> {
+        let instance = Instance { id: id.to_owned(), started_ms };
+        self.announce_state(instance, Phase::Ready, 4)
+    }
+
+    fn announce_state(
+        &mut self,
+        instance: Instance,
+        phase: Phase,
+        slots: u16,
+    ) -> Vec<Effect> {
         self.message_count += 1;
         let announcement = Box::new(Announcement {
-            instance: Instance { id: "u0".to_owned(), started_ms: 1 },
+            instance,
             service: "s".to_owned(),
             address: settings(0).upstream.to_string(),
             slots,
--- a/crates/node/src/fleet/notice_log.rs
+++ b/crates/node/src/fleet/notice_log.rs
@@ -181,8 +181,11 @@
                 slog::info!(log, "upstream is draining or has exited";
                     "id" => id);
             }
-            Notice::UpstreamDown { suspects } => {
-                slog::warn!(log, "upstream refuses connections";
+            Notice::UpstreamDown => {
+                slog::warn!(log, "upstream refuses connections");
+            }
+            Notice::UpstreamCrashed { suspects } => {
+                slog::warn!(log, "upstream has crashed";
                     "suspects" => suspects);
             }
             Notice::Harmful { request } => {
