Suspect requests that ended just before a crash was noticed

Cause: a crash makes suspects of the requests that run when it is noticed. A request whose caller has left by then, whose time is over, or whose answer broke off midway has ended and was no suspect.

Evidence: a_request_that_ended_just_before_the_crash_is_a_suspect; before, the crash has no suspects (`left: [] right: [Fingerprint(66)]`).

Change: a request that ends at the upstream in any way that leaves open whether it has run is remembered, as those with a lost connection were, and is a suspect if the upstream crashes before its next announcement.

--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -348,6 +348,7 @@
         match entry.state {
             State::Running(_) => {
                 self.requests.running -= 1;
+                self.requests.crashes.record_lost(entry.fingerprint, now);
                 out.push(Effect::Abort { ticket });
             }
             State::Queued => self.requests.queue.remove(ticket),
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -240,10 +240,8 @@
                 self.requests.crashes.record_answer(request, now);
             }
             Err(refusal) => {
-                if refusal.reason == Reason::ConnectionLost {
-                    self.requests.crashes.record_lost(request, now);
-                }
                 if refusal.verdict == Verdict::MayHaveRun {
+                    self.requests.crashes.record_lost(request, now);
                     self.requests.record_run(since, false, now);
                 } else {
                     let good = &mut self.requests.success_ratio;
--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -2,10 +2,12 @@
 //! sent to no further upstream.
 
 use lagoondyke_core::fleet::effect::{Effect, Op};
-use lagoondyke_core::fleet::event::{Call, Event, Item, StoreOutcome};
+use lagoondyke_core::fleet::event::{
+    Call, Event, Item, Outcome, StoreOutcome,
+};
 use lagoondyke_core::fleet::gossip::MAX_GOSSIP_BYTES;
 use lagoondyke_core::fleet::upstream::Phase;
-use lagoondyke_core::id::Fingerprint;
+use lagoondyke_core::id::{Fingerprint, Ticket};
 use lagoondyke_core::verdict::{Reason, Refusal};
 
 use crate::requests::{Harness, dispatches, forwards, refusal, refused};
@@ -235,3 +237,24 @@
     harness.announce_instance("u1", 2);
     assert_eq!(reported_suspects(&mut harness), []);
 }
+
+/// Guards against a request that is no suspect since its caller left, or since
+/// part of its answer arrived, before the crash was noticed.
+#[test]
+fn a_request_that_ended_just_before_the_crash_is_a_suspect() {
+    let cut = Refusal::new(Reason::AnswerCut, "by the test");
+    let ends = [
+        Event::Cancelled { ticket: Ticket(1) },
+        Event::UpstreamDone {
+            ticket: Ticket(1),
+            outcome: Outcome { result: Err(cut), load: None, cold_ms: None },
+        },
+    ];
+    for end in ends {
+        let mut harness = running_it();
+        harness.step(end);
+        harness.now += 50;
+        harness.step(Event::UpstreamDown);
+        assert_eq!(reported_suspects(&mut harness), [HARMFUL]);
+    }
+}
