Do not clear a suspect because an upstream failed it

Cause: any answer cleared a request of its crashes, also a failure. A harmful request that some upstream answers with 500, or with 504 at its deadline, began again at no crash.

Evidence: a_failure_does_not_clear_a_request; before, an answer with 500 leaves no suspect at the crash that follows (`left: [] right: [Fingerprint(66)]`).

Change: only an answer with a status below 500 clears a request.

--- a/crates/core/src/fleet/crash_memory.rs
+++ b/crates/core/src/fleet/crash_memory.rs
@@ -78,8 +78,18 @@
         }
     }
 
-    /// Records that an upstream, here or at another node, answered a request.
-    pub(super) fn record_answer(&mut self, request: Fingerprint, now: Millis) {
+    /// Records that an upstream, here or at another node, answered a request
+    /// with this status. A failure does not clear the request, since an
+    /// upstream may fail it before it crashes.
+    pub(super) fn record_answer(
+        &mut self,
+        request: Fingerprint,
+        status: u16,
+        now: Millis,
+    ) {
+        if status >= 500 {
+            return;
+        }
         self.own.record_answer(request, now);
         self.tracker.forget(request);
         self.harmful.remove(&request);
--- a/crates/core/src/fleet/request/ingress.rs
+++ b/crates/core/src/fleet/request/ingress.rs
@@ -440,7 +440,8 @@
         let refusal = match result {
             Ok(status) => {
                 entry.attempts = entry.attempts.saturating_sub(1);
-                self.requests.crashes.record_answer(entry.fingerprint, now);
+                let request = entry.fingerprint;
+                self.requests.crashes.record_answer(request, status, now);
                 let failed = status >= 500 && entry.order.idempotent;
                 if failed && self.try_retry(ticket, now) {
                     return self.place(ticket, now, out);
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -237,7 +237,7 @@
         match &outcome.result {
             Ok(status) => {
                 self.requests.record_run(since, *status < 500, now);
-                self.requests.crashes.record_answer(request, now);
+                self.requests.crashes.record_answer(request, *status, now);
             }
             Err(refusal) => {
                 if refusal.verdict == Verdict::MayHaveRun {
--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -258,3 +258,16 @@
         assert_eq!(reported_suspects(&mut harness), [HARMFUL]);
     }
 }
+
+/// Guards against a failure that clears a request: an upstream may answer it
+/// with an error before it crashes.
+#[test]
+fn a_failure_does_not_clear_a_request() {
+    for (status, expected) in [(200, vec![]), (500, vec![HARMFUL])] {
+        let mut harness = running_it();
+        harness.upstream_done(1, Ok(status));
+        assert_eq!(dispatches(&harness.peer_request(0, 5_000)), 1);
+        harness.step(Event::UpstreamDown);
+        assert_eq!(reported_suspects(&mut harness), expected, "{status}");
+    }
+}
