Check for harmful requests wherever one is sent to an upstream

Cause: only the node at which a request arrives checked whether it is harmful, and only on arrival. A node that does not know of the crashes yet, for example one that has just started, sent it on, and the node beside the upstream ran it. A request that became known as harmful while it ran was repeated at the next upstream, and one that a peer refused as harmful was offered to others.

Evidence: a_harmful_request_of_a_peer_is_refused, a_request_that_turns_out_to_be_harmful_is_not_repeated and a_request_that_a_peer_finds_harmful_goes_nowhere_else. Before, the first is dispatched (`left: 1 right: 0`), the others are forwarded (`left: [10.0.0.2:3] right: []`).

Change: the node beside the upstream, its only sender, checks each request when it arrives and when it is dispatched. No repeat is sent of a harmful request, and a refusal as harmful is final.

--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -415,6 +415,13 @@
     }
 }
 
+/// Refusal of a request that crashes upstreams. It names no time after which
+/// to come back, since the request would be refused again.
+fn harmful_refusal() -> Refusal {
+    let detail = "requests like this one crashed upstreams";
+    Refusal::new(Reason::Poisoned, detail)
+}
+
 fn refusal_with_retry(reason: Reason, detail: &str, after: u64) -> Refusal {
     let mut refusal = Refusal::new(reason, detail);
     let after = after.clamp(RETRY_AFTER_RANGE_MS.0, RETRY_AFTER_RANGE_MS.1);
--- a/crates/core/src/fleet/request/ingress.rs
+++ b/crates/core/src/fleet/request/ingress.rs
@@ -3,7 +3,7 @@
 
 use super::{
     Entry, RETRY_AFTER_DEFAULT_MS, RETRY_AFTER_RANGE_MS, State,
-    refusal_with_retry,
+    harmful_refusal, refusal_with_retry,
 };
 use crate::clock::Millis;
 use crate::fleet::effect::Effect;
@@ -86,8 +86,7 @@
             return Err(Refusal::new(Reason::UnknownService, detail));
         };
         if self.requests.crashes.is_harmful(arrival.fingerprint, now) {
-            let detail = "requests like this one crashed upstreams";
-            return Err(Refusal::new(Reason::Poisoned, detail));
+            return Err(harmful_refusal());
         }
         let service = self.requests.next_service(route).unwrap_or_default();
         let keyed = config.is_keyed(service);
@@ -468,6 +467,9 @@
         let Some(entry) = self.requests.entries.get_mut(&ticket) else {
             return false;
         };
+        if self.requests.crashes.is_harmful(entry.fingerprint, now) {
+            return false;
+        }
         let has_time = entry.deadline.since(now) > mean;
         if entry.attempts == 0
             || !has_time
@@ -502,6 +504,9 @@
             }
             return self.refuse(ticket, refusal, now, out);
         }
+        if reason == Reason::Poisoned {
+            return self.refuse(ticket, refusal, now, out);
+        }
         if keyed {
             let elsewhere = matches!(
                 reason,
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Entry, MIN_TIME_LEFT_RATIO, RETRY_AFTER_DEFAULT_MS, RETRY_AFTER_RANGE_MS,
-    SUCCESS_WEIGHT_RATIO, State, refusal_with_retry,
+    SUCCESS_WEIGHT_RATIO, State, harmful_refusal, refusal_with_retry,
 };
 use crate::clock::Millis;
 use crate::fleet::effect::{Effect, Notice};
@@ -54,6 +54,9 @@
         now: Millis,
     ) -> Option<Refusal> {
         let order = &entry.order;
+        if self.requests.crashes.is_harmful(entry.fingerprint, now) {
+            return Some(harmful_refusal());
+        }
         if order.service != self.settings.service {
             let detail = "the node's upstream has another service";
             return Some(Refusal::new(Reason::NotOwner, detail));
--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -8,7 +8,7 @@
 use lagoondyke_core::fleet::gossip::MAX_GOSSIP_BYTES;
 use lagoondyke_core::fleet::upstream::Phase;
 use lagoondyke_core::id::{Fingerprint, Ticket};
-use lagoondyke_core::verdict::{Reason, Refusal};
+use lagoondyke_core::verdict::{Reason, Refusal, Verdict};
 
 use crate::requests::{Harness, dispatches, forwards, refusal, refused};
 
@@ -18,6 +18,10 @@
 /// Time after which nodes no longer report the suspects of a crash.
 const REPORTS_OVER_MS: u64 = 11_000;
 
+/// Refusal of a harmful request.
+const POISONED_NOT_RUN: (Reason, Verdict) =
+    (Reason::Poisoned, Verdict::NotRun);
+
 /// Time after which the next gossip is due.
 const GOSSIP_INTERVAL_MS: u64 = 200;
 
@@ -271,3 +275,47 @@
         assert_eq!(reported_suspects(&mut harness), expected, "{status}");
     }
 }
+
+/// Guards against a harmful request that reaches the upstream since the node
+/// at which it arrived does not know of the crashes.
+#[test]
+fn a_harmful_request_of_a_peer_is_refused() {
+    let mut harness = told_of_three_crashes();
+    harness.announce(Phase::Ready, 4);
+    let out = harness.peer_request(0, 5_000);
+    assert_eq!(dispatches(&out), 0);
+    let refused = refusal(&out).expect("the request crashes upstreams");
+    assert_eq!((refused.reason, refused.verdict), POISONED_NOT_RUN);
+}
+
+/// Guards against a harmful request that is offered to one node after another
+/// until one does not know of the crashes.
+#[test]
+fn a_request_that_a_peer_finds_harmful_goes_nowhere_else() {
+    let mut harness = Harness::new();
+    harness.gossip(1, "s");
+    harness.gossip(2, "s");
+    assert_eq!(forwards(&harness.caller_request("/s/", None)).len(), 1);
+    let out = harness.peer_done(1, refused(Reason::Poisoned));
+    assert_eq!(forwards(&out), []);
+    let refused = refusal(&out).expect("the request crashes upstreams");
+    assert_eq!((refused.reason, refused.verdict), POISONED_NOT_RUN);
+}
+
+/// Guards against a repeat that crashes another upstream: the request became
+/// known as harmful while it ran.
+#[test]
+fn a_request_that_turns_out_to_be_harmful_is_not_repeated() {
+    let mut harness = Harness::new();
+    harness.gossip(1, "s");
+    harness.gossip(2, "s");
+    harness.fingerprint = Some(HARMFUL);
+    assert_eq!(forwards(&harness.caller_request("/si/", None)).len(), 1);
+    for index in 3..=5 {
+        harness.gossip_with(index, "k", &[HARMFUL]);
+    }
+    let out = harness.peer_done(1, refused(Reason::ConnectionLost));
+    assert_eq!(forwards(&out), []);
+    let refused = refusal(&out).expect("it is not repeated");
+    assert_eq!(refused.verdict, Verdict::MayHaveRun);
+}
