Carry what an upstream says of itself in one type

Outcome and AnswerMeta have a Condition in place of the time for which the upstream is cold, so that an answer can carry more.

--- a/crates/core/examples/fleet.rs
+++ b/crates/core/examples/fleet.rs
@@ -259,7 +259,7 @@
 
     /// The answer to a request, from a peer or from the local upstream.
     fn done(&mut self, ticket: Ticket, peer: bool) {
-        let outcome = Outcome { result: Ok(200), load: None, cold_ms: None };
+        let outcome = Outcome { result: Ok(200), load: None, condition: None };
         self.step(if peer {
             Event::PeerDone { ticket, outcome }
         } else {
--- a/crates/core/src/fleet/event.rs
+++ b/crates/core/src/fleet/event.rs
@@ -257,7 +257,13 @@
     pub result: Result<u16, Refusal>,
     /// Load of the upstream at that time, as reported by a peer.
     pub load: Option<Load>,
-    /// Remaining time for which the upstream reports to be cold, in
-    /// milliseconds.
+    /// What the upstream says of itself; `None` without an answer from it.
+    pub condition: Option<Condition>,
+}
+
+/// What an upstream says of itself in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Condition {
+    /// Remaining time for which it is cold, in milliseconds.
     pub cold_ms: Option<u64>,
 }
--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -321,8 +321,8 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        if let Some(left) = outcome.cold_ms {
-            self.upstream.set_cold(left, now);
+        if let Some(condition) = outcome.condition {
+            self.upstream.apply_condition(condition, now);
         }
         self.on_run_ended(ticket, outcome, now, out);
         self.dispatch_queued(now, out);
--- a/crates/core/src/fleet/upstream.rs
+++ b/crates/core/src/fleet/upstream.rs
@@ -6,6 +6,7 @@
 //! until the grant has expired or the upstream has reported its release.
 
 use crate::clock::Millis;
+use crate::fleet::event::Condition;
 use crate::fleet::lease::extend_for_drift;
 use crate::fleet::table::Instance;
 
@@ -408,6 +409,13 @@
         self.cold_until = self.cold_until.max(now.plus(left_ms));
     }
 
+    /// Applies what the upstream says of itself in an answer.
+    pub fn apply_condition(&mut self, condition: Condition, now: Millis) {
+        if let Some(left_ms) = condition.cold_ms {
+            self.set_cold(left_ms, now);
+        }
+    }
+
     /// Number of requests that the upstream can run concurrently.
     #[must_use]
     pub fn slots(&self) -> u16 {
--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -251,7 +251,7 @@
         Event::Cancelled { ticket: Ticket(1) },
         Event::UpstreamDone {
             ticket: Ticket(1),
-            outcome: Outcome { result: Err(cut), load: None, cold_ms: None },
+            outcome: Outcome { result: Err(cut), load: None, condition: None },
         },
     ];
     for end in ends {
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -7,7 +7,7 @@
 use lagoondyke_core::fleet::config::{Config, Route, Service, Target};
 use lagoondyke_core::fleet::effect::{Effect, Op};
 use lagoondyke_core::fleet::event::{
-    Arrival, Call, Event, Item, ObjectKind, Order, Outcome, Source,
+    Arrival, Call, Condition, Event, Item, ObjectKind, Order, Outcome, Source,
     StoreOutcome, Value,
 };
 use lagoondyke_core::fleet::gossip::Gossip;
@@ -217,7 +217,7 @@
         result: Result<u16, Refusal>,
     ) -> Vec<Effect> {
         let ticket = Ticket(ticket);
-        let outcome = Outcome { result, load: None, cold_ms: None };
+        let outcome = Outcome { result, load: None, condition: None };
         self.step(Event::PeerDone { ticket, outcome })
     }
 
@@ -227,7 +227,7 @@
         result: Result<u16, Refusal>,
     ) -> Vec<Effect> {
         let ticket = Ticket(ticket);
-        let outcome = Outcome { result, load: None, cold_ms: None };
+        let outcome = Outcome { result, load: None, condition: None };
         self.step(Event::UpstreamDone { ticket, outcome })
     }
 }
@@ -436,8 +436,9 @@
     harness.announce(Phase::Ready, 100);
     let ticket = Ticket(99);
     harness.peer_request(0, 5_000);
+    let cold = Condition { cold_ms: Some(3_000) };
     let outcome =
-        Outcome { result: Ok(200), load: None, cold_ms: Some(3_000) };
+        Outcome { result: Ok(200), load: None, condition: Some(cold) };
     harness.step(Event::UpstreamDone { ticket: Ticket(1), outcome });
     let _ = ticket;
     let mut sent = 0;
--- a/crates/node/src/fleet/peers.rs
+++ b/crates/node/src/fleet/peers.rs
@@ -94,7 +94,7 @@
             Ok(answer) => Ok(answer.status.as_u16()),
             Err(refusal) => Err(refusal.clone()),
         };
-        (reply, Outcome { result, load, cold_ms: None })
+        (reply, Outcome { result, load, condition: None })
     }
 
     /// Fetches a document from another node; `None` on failure.
--- a/crates/node/src/fleet/ports.rs
+++ b/crates/node/src/fleet/ports.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, StatusCode};
 use lagoondyke_core::fleet::effect::Op;
-use lagoondyke_core::fleet::event::StoreOutcome;
+use lagoondyke_core::fleet::event::{Condition, StoreOutcome};
 use lagoondyke_core::fleet::upstream::{Announcement, Grant};
 use lagoondyke_core::verdict::Refusal;
 
@@ -40,7 +40,7 @@
 
 /// What the status and headers of an upstream's answer say about the
 /// request and the upstream.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerMeta {
     /// Id of the answered request; `None` if the answer names none.
     pub id: Option<String>,
@@ -52,9 +52,8 @@
     /// Whether another upstream has the address, or the upstream does not
     /// hold the key.
     pub misdirected: bool,
-    /// Remaining time for which the upstream reports to be cold, in
-    /// milliseconds.
-    pub cold_ms: Option<u64>,
+    /// What the upstream says of itself.
+    pub condition: Condition,
 }
 
 /// A message of an upstream to the address for announcements.
--- a/crates/node/src/fleet/upstream.rs
+++ b/crates/node/src/fleet/upstream.rs
@@ -70,8 +70,8 @@
 pub struct DispatchResult {
     /// The answer or refusal for the sender of the request.
     pub reply: Reply,
-    /// What the reducer needs: the status or refusal, and for how long the
-    /// upstream is cold.
+    /// What the reducer needs: the status or refusal, and what the upstream
+    /// says of itself.
     pub outcome: Outcome,
     /// Whether the upstream refuses connections.
     pub down: bool,
@@ -105,10 +105,9 @@
         if down {
             self.pool.clear(self.addr);
         }
-        let (reply, cold_ms) = match result {
+        let (reply, condition) = match result {
             Ok((response, meta)) => {
-                let cold_ms = meta.cold_ms;
-                (reply_of(response, &meta), cold_ms)
+                (reply_of(response, &meta), Some(meta.condition))
             }
             Err(error) => (Err(refusal_of(&error)), None),
         };
@@ -116,7 +115,7 @@
             Ok(answer) => Ok(answer.status.as_u16()),
             Err(refusal) => Err(refusal.clone()),
         };
-        let outcome = Outcome { result, load: None, cold_ms };
+        let outcome = Outcome { result, load: None, condition };
         DispatchResult { reply, outcome, down }
     }
 
