Keep to the rate limit that an upstream names

Cause: the header was read nowhere. Only slots bounded what an upstream got.

Ruled out: a limit for each ingress. The node beside the upstream is its only sender, so one counter there covers all nodes.

Change: that node sends at the stated rate by a token bucket, which starts empty and holds at most 0.3 s of the rate. The wait for a token counts in the estimate by which requests are queued or refused, so what the limit leaves no room for is refused at once, with the time until a token is free. Only an answer to a request that was sent after the limit was last stated ends it, since answers may overtake each other; a new instance has none. The node's gossip states a capacity of at most the limit, and as few slots as the limit can use, so that keys and requests go to other upstreams.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -29,6 +29,7 @@
 pub mod pick;
 pub mod proposal;
 pub mod queue;
+pub mod rate_limit;
 mod reconcile;
 mod reducer;
 mod renewal;
--- a/crates/core/src/fleet/effect.rs
+++ b/crates/core/src/fleet/effect.rs
@@ -281,6 +281,11 @@
         /// Number of requests that may have crashed it.
         suspects: usize,
     },
+    /// The upstream names a limit on its rate of requests, or no longer does.
+    Limited {
+        /// Requests per second, rounded down; `None` without a limit.
+        rate: Option<u32>,
+    },
     /// A request was running at so many crashes of upstreams that it is refused
     /// from now on.
     Harmful {
--- a/crates/core/src/fleet/event.rs
+++ b/crates/core/src/fleet/event.rs
@@ -266,4 +266,7 @@
 pub struct Condition {
     /// Remaining time for which it is cold, in milliseconds.
     pub cold_ms: Option<u64>,
+    /// Requests per second that it takes from all nodes together; `None` if it
+    /// names no limit.
+    pub rate_limit: Option<f64>,
 }
--- a/crates/core/src/fleet/peer_sync.rs
+++ b/crates/core/src/fleet/peer_sync.rs
@@ -6,6 +6,7 @@
 use crate::fleet::effect::{Effect, Notice};
 use crate::fleet::event::{Document, ObjectKind};
 use crate::fleet::gossip::Gossip;
+use crate::fleet::rate_limit::RateLimit;
 use crate::fleet::reducer::Fleet;
 use crate::id::Fingerprint;
 
@@ -40,7 +41,7 @@
             leaving: self.stopping_since.is_some() || !accepting,
             announce_ms: announce_ms as u32,
             inflight: self.requests.inflight(),
-            slots: self.upstream.slots(),
+            slots: self.usable_slots(now),
             mean_ms: self.requests.mean(now) as u32,
             good: (self.requests.success_ratio() * 1_000.0) as u16,
             rate: self.key_load.rate(now) as f32,
@@ -61,10 +62,22 @@
         interval.saturating_sub(age)
     }
 
+    /// Number of requests that the local upstream runs concurrently when it is
+    /// fully used. Under a limit on its rate it cannot use all its slots.
+    pub(super) fn usable_slots(&self, now: Millis) -> u16 {
+        let slots = self.upstream.slots();
+        let Some(limit) = self.upstream.rate_limit() else { return slots };
+        let mean_secs = self.requests.mean(now) / 1_000.0;
+        let needed = (limit.rate() * mean_secs).ceil() as u16;
+        needed.clamp(1, slots.max(1))
+    }
+
     /// Capacity of the local upstream, in requests per second.
     pub(super) fn capacity(&self, now: Millis) -> f64 {
         let slots = f64::from(self.upstream.slots().max(1));
         let full = slots * 1_000.0 / self.requests.slow_mean().max(1.0);
+        let limit = self.upstream.rate_limit().map(RateLimit::rate);
+        let full = full.min(limit.unwrap_or(f64::INFINITY));
         if self.upstream.is_cold(now) {
             return full.min(self.warmup_rate());
         }
--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -321,9 +321,7 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        if let Some(condition) = outcome.condition {
-            self.upstream.apply_condition(condition, now);
-        }
+        self.apply_condition(ticket, &outcome, now, out);
         self.on_run_ended(ticket, outcome, now, out);
         self.dispatch_queued(now, out);
     }
--- a/crates/core/src/fleet/request/ingress.rs
+++ b/crates/core/src/fleet/request/ingress.rs
@@ -239,7 +239,7 @@
             nodes.push(own);
             candidates.push(Candidate {
                 inflight: u32::from(self.requests.inflight()),
-                slots: self.upstream.slots(),
+                slots: self.usable_slots(now),
                 mean_ms: self.requests.mean(now),
                 success_ratio: self.requests.success_ratio(),
                 same_domain: true,
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -9,7 +9,9 @@
 use crate::fleet::event::{Order, Outcome, Source};
 use crate::fleet::peer_sync::notify_harmful;
 use crate::fleet::queue::QueuedRequest;
+use crate::fleet::rate_limit::RateLimit;
 use crate::fleet::reducer::Fleet;
+use crate::fleet::upstream::LocalUpstream;
 use crate::id::Ticket;
 use crate::verdict::{Reason, Refusal, Verdict};
 
@@ -113,6 +115,7 @@
     ) {
         let slots = usize::from(self.upstream.slots().max(1));
         let cold = self.upstream.is_cold(now);
+        let limit = self.upstream.rate_limit().copied();
         let mean = self.requests.mean(now);
         let rate = self.warmup_rate();
         let requests = &mut self.requests;
@@ -122,14 +125,18 @@
         let queue = &requests.queue;
         let busy = requests.running >= slots
             || queue.count_ahead(priority, false) > 0
-            || cold;
+            || cold
+            || limit.is_some_and(|limit| !limit.is_open(now));
         let wait = |timely: bool| {
             if !busy {
                 return 0.0;
             }
             let position = (queue.count_ahead(priority, timely) + 1) as f64;
-            let wait = position * mean / slots as f64;
-            if cold { wait.max(position * 1_000.0 / rate) } else { wait }
+            let mut wait = position * mean / slots as f64;
+            if cold {
+                wait = wait.max(position * 1_000.0 / rate);
+            }
+            limit.map_or(wait, |limit| wait.max(limit.wait_ms(position, now)))
         };
         let left = entry.deadline.since(now);
         let age = now.since(entry.arrived);
@@ -166,6 +173,9 @@
         let time = self.requests.mean_ms as u64;
         while self.requests.running < slots && !self.requests.queue.is_empty()
         {
+            if self.upstream.rate_limit().is_some_and(|l| !l.is_open(now)) {
+                return;
+            }
             if cold && !self.requests.window.try_add(rate, now) {
                 return;
             }
@@ -212,6 +222,7 @@
         };
         entry.state = State::Running(now);
         entry.record_sent(node);
+        self.upstream.record_sent(now);
         out.push(Effect::Dispatch {
             ticket,
             upstream,
@@ -222,6 +233,31 @@
         self.requests.running += 1;
     }
 
+    /// Applies what the upstream says of itself in an answer.
+    pub(in crate::fleet) fn apply_condition(
+        &mut self,
+        ticket: Ticket,
+        outcome: &Outcome,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(condition) = outcome.condition else { return };
+        let entry = self.requests.entries.get(&ticket);
+        let Some(State::Running(sent)) = entry.map(|entry| entry.state) else {
+            return;
+        };
+        let limit = |upstream: &LocalUpstream| {
+            upstream.rate_limit().map(RateLimit::rate)
+        };
+        let before = limit(&self.upstream);
+        self.upstream.apply_condition(condition, sent, now);
+        let after = limit(&self.upstream);
+        if before.is_none() != after.is_none() {
+            let rate = after.map(|rate| rate as u32);
+            out.push(Effect::Notice(Notice::Limited { rate }));
+        }
+    }
+
     /// Handles the end of a dispatched request.
     pub(in crate::fleet) fn on_run_ended(
         &mut self,
--- a/crates/core/src/fleet/upstream.rs
+++ b/crates/core/src/fleet/upstream.rs
@@ -8,6 +8,7 @@
 use crate::clock::Millis;
 use crate::fleet::event::Condition;
 use crate::fleet::lease::extend_for_drift;
+use crate::fleet::rate_limit::RateLimit;
 use crate::fleet::table::Instance;
 
 /// Longest duration of a grant. Announcements come every 0.87 s, so two in a
@@ -150,6 +151,7 @@
     sequence: u64,
     last_seen: Millis,
     cold_until: Millis,
+    rate_limit: Option<RateLimit>,
     /// Whether it was found unreachable since the last announcement.
     down: bool,
     granted: Vec<Granted>,
@@ -174,6 +176,7 @@
             sequence: 0,
             last_seen: now,
             cold_until: now,
+            rate_limit: None,
             down: false,
             granted: Vec::new(),
             grant_ends: now,
@@ -197,6 +200,7 @@
                 self.instance = Some(announcement.instance.clone());
                 self.phase = Phase::Ready;
                 self.leaving = None;
+                self.rate_limit = None;
                 self.granted.clear();
                 self.promises.clear();
                 self.released.clear();
@@ -409,11 +413,41 @@
         self.cold_until = self.cold_until.max(now.plus(left_ms));
     }
 
-    /// Applies what the upstream says of itself in an answer.
-    pub fn apply_condition(&mut self, condition: Condition, now: Millis) {
+    /// Applies what the upstream says of itself in an answer to a request that
+    /// was sent at `sent`. Only an answer to a request that was sent after the
+    /// limit was last stated can end it: answers may overtake each other.
+    pub fn apply_condition(
+        &mut self,
+        condition: Condition,
+        sent: Millis,
+        now: Millis,
+    ) {
         if let Some(left_ms) = condition.cold_ms {
             self.set_cold(left_ms, now);
         }
+        match (&mut self.rate_limit, condition.rate_limit) {
+            (Some(limit), Some(rate)) => limit.restate(rate, now),
+            (None, Some(rate)) => {
+                self.rate_limit = Some(RateLimit::new(rate, now));
+            }
+            (Some(limit), None) if sent >= limit.stated() => {
+                self.rate_limit = None;
+            }
+            (_, None) => {}
+        }
+    }
+
+    /// The limit that the upstream states, if any.
+    #[must_use]
+    pub fn rate_limit(&self) -> Option<&RateLimit> {
+        self.rate_limit.as_ref()
+    }
+
+    /// Counts a request that is sent to the upstream.
+    pub fn record_sent(&mut self, now: Millis) {
+        if let Some(limit) = &mut self.rate_limit {
+            limit.take(now);
+        }
     }
 
     /// Number of requests that the upstream can run concurrently.
--- /dev/null
+++ b/crates/core/tests/fleet/limits.rs
@@ -0,0 +1,170 @@
+//! What an upstream states about itself in its answers binds its node.
+
+use lagoondyke_core::fleet::effect::Effect;
+use lagoondyke_core::fleet::event::{Condition, Event, Outcome};
+use lagoondyke_core::fleet::gossip::Gossip;
+use lagoondyke_core::fleet::upstream::Phase;
+use lagoondyke_core::id::Ticket;
+use lagoondyke_core::verdict::Reason;
+
+use crate::requests::{Harness, dispatched_tickets, dispatches, refusal};
+
+/// Time that a request takes at the upstream.
+const RUN_MS: u64 = 100;
+
+/// Window in which requests to a limited upstream are counted.
+const WINDOW_MS: u64 = 4_000;
+
+/// An upstream with this limit, in requests per second.
+fn limited(rate: f64) -> Condition {
+    Condition { rate_limit: Some(rate), ..Condition::default() }
+}
+
+/// The node after its upstream has answered a request under this condition.
+fn answered(condition: Condition) -> Harness {
+    let mut harness = Harness::new();
+    harness.announce(Phase::Ready, 20);
+    assert_eq!(dispatches(&harness.peer_request(0, 5_000)), 1);
+    harness.now += RUN_MS;
+    answer(&mut harness, 1, condition);
+    harness
+}
+
+/// The upstream answers a request.
+fn answer(
+    harness: &mut Harness,
+    ticket: u64,
+    condition: Condition,
+) -> Vec<Effect> {
+    let ticket = Ticket(ticket);
+    let condition = Some(condition);
+    let outcome = Outcome { result: Ok(200), load: None, condition };
+    harness.step(Event::UpstreamDone { ticket, outcome })
+}
+
+/// Times at which requests reach the upstream if one arrives each 10 ms for
+/// `span` milliseconds.
+fn sent_under_load(
+    harness: &mut Harness,
+    condition: Condition,
+    span: u64,
+) -> Vec<u64> {
+    let end = harness.now + span;
+    let mut running: Vec<(u64, u64)> = Vec::new();
+    let mut sent = Vec::new();
+    while harness.now < end {
+        harness.now += 10;
+        let now = harness.now;
+        let mut out = harness.peer_request(0, 2_000);
+        out.extend(harness.step(Event::Tick));
+        let (ended, rest) = running.into_iter().partition(|r| r.1 <= now);
+        running = rest;
+        for (ticket, _) in ended {
+            out.extend(answer(harness, ticket, condition));
+        }
+        for ticket in dispatched_tickets(&out) {
+            running.push((ticket.0, now + RUN_MS));
+            sent.push(now);
+        }
+    }
+    sent
+}
+
+/// Most requests in any window.
+fn most_in_window(sent: &[u64]) -> usize {
+    let count = |begin: u64| {
+        sent.iter()
+            .filter(|&&at| begin <= at && at < begin + WINDOW_MS)
+            .count()
+    };
+    sent.iter().map(|&begin| count(begin)).max().unwrap_or(0)
+}
+
+/// Guards against an upstream that gets more requests than the limit that it
+/// names, and against one that gets far fewer.
+#[test]
+fn an_upstream_gets_as_many_requests_as_it_names() {
+    for rate in [0.7, 2.0, 8.7, 40.0] {
+        let mut harness = answered(limited(rate));
+        let sent = sent_under_load(&mut harness, limited(rate), 20_000);
+        let window_secs = WINDOW_MS as f64 / 1_000.0;
+        let allowed = 1.5 * rate * window_secs + 5.0;
+        assert!(most_in_window(&sent) as f64 <= allowed, "limit {rate}");
+        let rate_sent = sent.len() as f64 / 20.0;
+        assert!(rate_sent >= 0.9 * rate, "{rate_sent} of {rate} a second");
+    }
+}
+
+/// Guards against requests that wait for an upstream with a limit until it is
+/// too late for them.
+#[test]
+fn what_a_limit_leaves_no_room_for_is_refused_at_once() {
+    let mut harness = answered(limited(2.0));
+    let mut refused = 0;
+    for _ in 0..10 {
+        let out = harness.peer_request(0, 1_000);
+        let Some(refusal) = refusal(&out) else { continue };
+        assert_eq!(refusal.reason, Reason::Overloaded);
+        let after = refusal.retry_after.expect("a time to come back");
+        assert!(after >= 400, "the next is sent after half a second");
+        refused += 1;
+    }
+    assert!(refused >= 9, "{refused} refused");
+}
+
+/// Guards against a limit that an answer from before it ends: answers may
+/// overtake each other.
+#[test]
+fn only_a_later_answer_ends_a_limit() {
+    let mut harness = Harness::new();
+    harness.announce(Phase::Ready, 20);
+    harness.peer_request(0, 9_000);
+    harness.peer_request(0, 9_000);
+    harness.now += RUN_MS;
+    answer(&mut harness, 1, limited(1.0));
+    answer(&mut harness, 2, Condition::default());
+    let sent = |harness: &mut Harness| {
+        (0..5)
+            .map(|_| dispatches(&harness.peer_request(0, 1_000)))
+            .sum::<usize>()
+    };
+    assert_eq!(sent(&mut harness), 0, "sent before the limit was named");
+    harness.now += 1_000;
+    assert_eq!(dispatches(&harness.peer_request(0, 1_000)), 1);
+    let ticket = harness.next_ticket - 1;
+    harness.now += RUN_MS;
+    answer(&mut harness, ticket, Condition::default());
+    assert_eq!(sent(&mut harness), 5, "sent after it, and no longer named");
+}
+
+/// Guards against the limit of an instance that has ended.
+#[test]
+fn a_new_instance_has_no_limit() {
+    let mut harness = answered(limited(1.0));
+    assert_eq!(dispatches(&harness.peer_request(0, 1_000)), 0);
+    harness.announce_instance("u9", 5);
+    assert_eq!(dispatches(&harness.peer_request(0, 1_000)), 1);
+}
+
+/// Guards against an upstream with a limit that others choose since it looks
+/// idle, and that gets more keys than it can serve.
+#[test]
+fn other_nodes_learn_of_a_limit() {
+    let mut harness = answered(limited(8.0));
+    let before = gossip(&mut answered(Condition::default()));
+    let under_limit = gossip(&mut harness);
+    assert_eq!(before.slots, 20);
+    assert_eq!(under_limit.slots, 2, "8 a second, each of 150 ms");
+    assert!(under_limit.capacity <= 8.0);
+}
+
+fn gossip(harness: &mut Harness) -> Gossip {
+    harness.gossip(1, "k");
+    harness.now += 200;
+    let out = harness.step(Event::Tick);
+    let gossip = out.into_iter().find_map(|effect| match effect {
+        Effect::Send { gossip, .. } => Some(*gossip),
+        _ => None,
+    });
+    gossip.expect("gossip is due")
+}
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod crashes;
+mod limits;
 mod ownership;
 mod proposal;
 mod requests;
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -436,7 +436,7 @@
     harness.announce(Phase::Ready, 100);
     let ticket = Ticket(99);
     harness.peer_request(0, 5_000);
-    let cold = Condition { cold_ms: Some(3_000) };
+    let cold = Condition { cold_ms: Some(3_000), ..Condition::default() };
     let outcome =
         Outcome { result: Ok(200), load: None, condition: Some(cold) };
     harness.step(Event::UpstreamDone { ticket: Ticket(1), outcome });
@@ -597,10 +597,15 @@
 }
 
 fn dispatched(out: &[Effect]) -> Option<Ticket> {
-    out.iter().find_map(|effect| match effect {
+    dispatched_tickets(out).first().copied()
+}
+
+pub fn dispatched_tickets(out: &[Effect]) -> Vec<Ticket> {
+    let tickets = out.iter().filter_map(|effect| match effect {
         Effect::Dispatch { ticket, .. } => Some(*ticket),
         _ => None,
-    })
+    });
+    tickets.collect()
 }
 
 /// Guards against a burst that makes all requests late: if they were served in
--- a/crates/node/src/fleet/notice_log.rs
+++ b/crates/node/src/fleet/notice_log.rs
@@ -188,6 +188,13 @@
                 slog::warn!(log, "upstream has crashed";
                     "suspects" => suspects);
             }
+            Notice::Limited { rate: Some(rate) } => {
+                slog::warn!(log, "upstream limits its rate of requests";
+                    "rate" => rate);
+            }
+            Notice::Limited { rate: None } => {
+                slog::info!(log, "upstream names no limit any more");
+            }
             Notice::Harmful { request } => {
                 slog::warn!(log, "request crashes upstreams";
                     "fingerprint" => format!("{:016x}", request.0));
--- a/crates/node/src/fleet/upstream.rs
+++ b/crates/node/src/fleet/upstream.rs
@@ -107,7 +107,9 @@
         }
         let (reply, condition) = match result {
             Ok((response, meta)) => {
-                (reply_of(response, &meta), Some(meta.condition))
+                // Another upstream may have the address.
+                let condition = (!meta.misdirected).then_some(meta.condition);
+                (reply_of(response, &meta), condition)
             }
             Err(error) => (Err(refusal_of(&error)), None),
         };
