Send few requests to an upstream before its first answer to a new process

Cause: a node that restarts does not know the limit that its upstream has named before, and sends as many requests at once as the upstream has slots. Requests that arrive at other nodes are not excused by that restart, and with a low limit the burst alone is more than the slack of five requests.

Evidence: a_new_process_sends_few_requests_before_the_first_answer; before, 20 requests are sent (`left: 20 right: 4`).

Change: until the first answer, four requests may run at the upstream.

the_longest_report_fits_into_a_datagram runs 48 requests at once and now has one answered before; its check is unchanged.

--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -113,7 +113,7 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        let slots = usize::from(self.upstream.slots().max(1));
+        let slots = self.upstream.open_slots();
         let cold = self.upstream.is_cold(now);
         let limit = self.upstream.rate_limit().copied();
         let mean = self.requests.mean(now);
@@ -167,7 +167,7 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        let slots = usize::from(self.upstream.slots().max(1));
+        let slots = self.upstream.open_slots();
         let cold = self.upstream.is_cold(now);
         let rate = self.warmup_rate();
         let time = self.requests.mean_ms as u64;
--- a/crates/core/src/fleet/upstream.rs
+++ b/crates/core/src/fleet/upstream.rs
@@ -19,6 +19,11 @@
 /// answers of at most 4 KiB; the rest is for the surrounding fields.
 const GRANT_ROOM_BYTES: usize = 3_900;
 
+/// Number of requests that are sent to the upstream before the first answer.
+/// Sent beside the rate that it may have stated to an earlier process of this
+/// node, they stay within the slack of 5 requests that the platform allows.
+const MAX_UNANSWERED_COUNT: usize = 4;
+
 /// Largest size of a range in an answer, without its handover token.
 const MAX_RANGE_BYTES: usize = 32;
 
@@ -152,6 +157,8 @@
     last_seen: Millis,
     cold_until: Millis,
     rate_limit: Option<RateLimit>,
+    /// Whether any request has been answered since this node started.
+    answered: bool,
     /// Whether it was found unreachable since the last announcement.
     down: bool,
     granted: Vec<Granted>,
@@ -177,6 +184,7 @@
             last_seen: now,
             cold_until: now,
             rate_limit: None,
+            answered: false,
             down: false,
             granted: Vec::new(),
             grant_ends: now,
@@ -422,6 +430,7 @@
         sent: Millis,
         now: Millis,
     ) {
+        self.answered = true;
         if let Some(left_ms) = condition.cold_ms {
             self.set_cold(left_ms, now);
         }
@@ -450,6 +459,15 @@
         }
     }
 
+    /// Number of requests that may run at the upstream concurrently. It is
+    /// small until the first answer in this process, which says whether the
+    /// upstream limits its rate.
+    #[must_use]
+    pub fn open_slots(&self) -> usize {
+        let slots = usize::from(self.slots.max(1));
+        if self.answered { slots } else { slots.min(MAX_UNANSWERED_COUNT) }
+    }
+
     /// Number of requests that the upstream can run concurrently.
     #[must_use]
     pub fn slots(&self) -> u16 {
--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -131,6 +131,8 @@
 fn the_longest_report_fits_into_a_datagram() {
     let mut harness = Harness::new();
     harness.announce(Phase::Ready, 100);
+    harness.peer_request(0, 5_000);
+    harness.upstream_done(1, Ok(200));
     for index in 0..20 {
         harness.fingerprint = Some(Fingerprint(u64::MAX - index));
         for node in 1..=3 {
--- a/crates/core/tests/fleet/limits.rs
+++ b/crates/core/tests/fleet/limits.rs
@@ -168,3 +168,19 @@
     });
     gossip.expect("gossip is due")
 }
+
+/// Guards against a burst by a node that has restarted and does not know the
+/// limit of its upstream, while other nodes send it their requests.
+#[test]
+fn a_new_process_sends_few_requests_before_the_first_answer() {
+    let mut harness = Harness::new();
+    harness.announce(Phase::Ready, 20);
+    let mut sent = Vec::new();
+    for _ in 0..20 {
+        sent.extend(dispatched_tickets(&harness.peer_request(0, 5_000)));
+    }
+    assert_eq!(sent.len(), 4);
+    harness.now += RUN_MS;
+    let out = answer(&mut harness, sent[0].0, limited(2.0));
+    assert_eq!(dispatches(&out), 0, "the limit is known");
+}
