Stop sending to an upstream that says in its answers that it leaves

What callers saw: nothing yet.

Cause: the header was read nowhere. An upstream whose announcement that it drains is late or never comes went on to be sent requests.

Evidence: an_upstream_that_says_it_leaves_gets_no_more_requests, new_requests_go_to_other_upstreams_at_once, a_new_instance_is_not_leaving; before, the first two and the last find requests where none may be (`left: 1 right: 0`, `left: 0 right: 1`, `left: 1 right: 0`).

Ruled out: a record at each node that passes an answer on. The node beside the upstream is its only sender and sees the answer before any other does.

Change: such an answer counts as the first sign that the instance leaves, like an announcement that it drains: others get its new requests at once, and after the drain time, less half a second, it gets none. An instance does not come back from that. An upstream that then reports its exit without having announced that it drains still serves for that time, as before (an_upstream_that_reports_its_exit_first_still_serves).

--- a/crates/core/src/fleet/announce.rs
+++ b/crates/core/src/fleet/announce.rs
@@ -50,8 +50,7 @@
             self.gossip_due = now;
         }
         if self.upstream.is_leaving() && !was_leaving {
-            let id = announcement.instance.id.clone();
-            out.push(Effect::Notice(Notice::UpstreamLeaving { id }));
+            self.on_upstream_leaving(now, out);
         }
         self.refuse_queued(now, out);
         self.plan_moves(now, out);
@@ -64,6 +63,18 @@
         self.acknowledge(ticket, now, out);
     }
 
+    /// Handles the first sign that the upstream is leaving.
+    pub(super) fn on_upstream_leaving(
+        &mut self,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        self.gossip_due = now;
+        let id = self.upstream.instance().map(|instance| instance.id.clone());
+        let id = id.unwrap_or_default();
+        out.push(Effect::Notice(Notice::UpstreamLeaving { id }));
+    }
+
     pub(super) fn acknowledge(
         &mut self,
         ticket: Ticket,
--- a/crates/core/src/fleet/event.rs
+++ b/crates/core/src/fleet/event.rs
@@ -269,4 +269,6 @@
     /// Requests per second that it takes from all nodes together; `None` if it
     /// names no limit.
     pub rate_limit: Option<f64>,
+    /// Whether it is leaving.
+    pub leaving: bool,
 }
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -250,12 +250,16 @@
             upstream.rate_limit().map(RateLimit::rate)
         };
         let before = limit(&self.upstream);
+        let was_leaving = self.upstream.is_leaving();
         self.upstream.apply_condition(condition, sent, now);
         let after = limit(&self.upstream);
         if before.is_none() != after.is_none() {
             let rate = after.map(|rate| rate as u32);
             out.push(Effect::Notice(Notice::Limited { rate }));
         }
+        if self.upstream.is_leaving() && !was_leaving {
+            self.on_upstream_leaving(now, out);
+        }
     }
 
     /// Handles the end of a dispatched request.
--- a/crates/core/src/fleet/upstream.rs
+++ b/crates/core/src/fleet/upstream.rs
@@ -150,7 +150,8 @@
 pub struct LocalUpstream {
     instance: Option<Instance>,
     phase: Phase,
-    /// When the current instance was first known to be leaving.
+    /// When the current instance was first known to be leaving, from an
+    /// announcement or an answer.
     leaving: Option<Millis>,
     slots: u16,
     sequence: u64,
@@ -370,7 +371,7 @@
     /// Whether the upstream is up and accepts new work.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.is_up() && self.phase == Phase::Ready
+        self.is_up() && !self.is_leaving()
     }
 
     /// Whether the upstream has announced itself and was not found unreachable
@@ -392,10 +393,12 @@
         self.last_seen
     }
 
-    /// Whether the upstream has reported that it is draining or has exited.
+    /// Whether the upstream has said that it is draining or has exited, in an
+    /// announcement or in an answer. An instance that is leaving does not come
+    /// back.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
-        self.phase != Phase::Ready
+        self.leaving.is_some()
     }
 
     /// Whether the upstream has reported its exit.
@@ -434,6 +437,9 @@
         if let Some(left_ms) = condition.cold_ms {
             self.set_cold(left_ms, now);
         }
+        if condition.leaving {
+            self.leaving.get_or_insert(now);
+        }
         match (&mut self.rate_limit, condition.rate_limit) {
             (Some(limit), Some(rate)) => limit.restate(rate, now),
             (None, Some(rate)) => {
--- a/crates/core/tests/fleet/limits.rs
+++ b/crates/core/tests/fleet/limits.rs
@@ -7,7 +7,9 @@
 use lagoondyke_core::id::Ticket;
 use lagoondyke_core::verdict::Reason;
 
-use crate::requests::{Harness, dispatched_tickets, dispatches, refusal};
+use crate::requests::{
+    Harness, dispatched_tickets, dispatches, forwards, refusal,
+};
 
 /// Time that a request takes at the upstream.
 const RUN_MS: u64 = 100;
@@ -184,3 +186,69 @@
     let out = answer(&mut harness, sent[0].0, limited(2.0));
     assert_eq!(dispatches(&out), 0, "the limit is known");
 }
+
+/// Time for which an upstream that leaves is sent requests, by the settings of
+/// the tests.
+const DRAIN_MS: u64 = 2_000;
+
+/// An upstream that says that it is leaving.
+fn leaving() -> Condition {
+    Condition { leaving: true, ..Condition::default() }
+}
+
+/// Guards against requests to an upstream that says in its answers that it is
+/// leaving, and whose announcements do not say so.
+#[test]
+fn an_upstream_that_says_it_leaves_gets_no_more_requests() {
+    for announcing in [false, true] {
+        let mut harness = answered(leaving());
+        let left_at = harness.now;
+        let mut late = 0;
+        while harness.now < left_at + 3 * DRAIN_MS {
+            harness.now += 100;
+            if announcing {
+                harness.announce(Phase::Ready, 20);
+            }
+            let sent = dispatches(&harness.peer_request(0, 900));
+            if harness.now >= left_at + DRAIN_MS {
+                late += sent;
+            }
+        }
+        assert_eq!(late, 0, "announcing: {announcing}");
+    }
+}
+
+/// Guards against callers of this node who are sent to a leaving upstream
+/// while others can take their requests.
+#[test]
+fn new_requests_go_to_other_upstreams_at_once() {
+    let mut harness = answered(leaving());
+    harness.gossip(2, "s");
+    for _ in 0..10 {
+        assert_eq!(forwards(&harness.caller_request("/s/", None)).len(), 1);
+    }
+}
+
+/// Guards against an upstream that gets nothing from the moment at which it
+/// reports its exit, although it serves for a while: some report it first, and
+/// say in their answers that they are leaving.
+#[test]
+fn an_upstream_that_reports_its_exit_first_still_serves() {
+    let mut harness = answered(leaving());
+    harness.step(Event::UpstreamLeft { id: "u0".to_owned() });
+    harness.now += 500;
+    assert_eq!(dispatches(&harness.peer_request(0, 900)), 1);
+    harness.now += DRAIN_MS;
+    assert_eq!(dispatches(&harness.peer_request(0, 900)), 0);
+}
+
+/// Guards against an upstream that leaves and whose next instance gets no
+/// requests.
+#[test]
+fn a_new_instance_is_not_leaving() {
+    let mut harness = answered(leaving());
+    harness.now += 2 * DRAIN_MS;
+    assert_eq!(dispatches(&harness.peer_request(0, 900)), 0);
+    harness.announce_instance("u9", 5);
+    assert_eq!(dispatches(&harness.peer_request(0, 900)), 1);
+}
