Send nothing to an upstream that was leaving when its node started

Cause: a node that restarts while its upstream drains learns of it by the first announcement and sends it requests for the drain time once more.

Evidence: a_new_process_sends_nothing_to_an_upstream_that_is_leaving; before, a request is sent (`left: 1 right: 0`).

Change: if the first announcement that a process gets says that the upstream drains, the process cannot know since when, and sends it nothing. Its keys are handed over as before.

Not covered: an upstream that says only in its answers that it leaves, and goes on to announce itself as ready to a node that has restarted.

--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -335,6 +335,7 @@
             since.is_some_and(|since| now.since(since) >= span)
         };
         self.upstream.is_up()
+            && !self.upstream.was_leaving_at_start()
             && !over(self.upstream.leaving_since(), bounds.drain_ms())
             && !over(self.out_since, bounds.evacuate_ms())
     }
--- a/crates/core/src/fleet/upstream.rs
+++ b/crates/core/src/fleet/upstream.rs
@@ -153,6 +153,9 @@
     /// When the current instance was first known to be leaving, from an
     /// announcement or an answer.
     leaving: Option<Millis>,
+    /// Whether it was leaving before this process first heard of it, so that
+    /// the process cannot know since when.
+    leaving_at_start: bool,
     slots: u16,
     sequence: u64,
     last_seen: Millis,
@@ -180,6 +183,7 @@
             instance: None,
             phase: Phase::Ready,
             leaving: None,
+            leaving_at_start: false,
             slots: 0,
             sequence: 0,
             last_seen: now,
@@ -206,6 +210,8 @@
             Recency::NewInstance => {
                 // The earlier instance has ended: the new one uses its
                 // address.
+                self.leaving_at_start = self.instance.is_none()
+                    && announcement.phase != Phase::Ready;
                 self.instance = Some(announcement.instance.clone());
                 self.phase = Phase::Ready;
                 self.leaving = None;
@@ -387,6 +393,12 @@
         self.leaving
     }
 
+    /// Whether the upstream has been leaving for an unknown time.
+    #[must_use]
+    pub fn was_leaving_at_start(&self) -> bool {
+        self.leaving_at_start
+    }
+
     /// When the latest announcement arrived.
     #[must_use]
     pub fn announced_at(&self) -> Millis {
--- a/crates/core/tests/fleet/limits.rs
+++ b/crates/core/tests/fleet/limits.rs
@@ -252,3 +252,15 @@
     harness.announce_instance("u9", 5);
     assert_eq!(dispatches(&harness.peer_request(0, 900)), 1);
 }
+
+/// Guards against a node that restarts while its upstream leaves and sends it
+/// requests for the drain time once more: other nodes have passed on the
+/// answers in which the upstream said so.
+#[test]
+fn a_new_process_sends_nothing_to_an_upstream_that_is_leaving() {
+    let mut harness = Harness::new();
+    harness.announce(Phase::Draining, 20);
+    assert_eq!(dispatches(&harness.peer_request(0, 900)), 0);
+    harness.announce_instance("u9", 5);
+    assert_eq!(dispatches(&harness.peer_request(0, 900)), 1);
+}
