Do not reuse a connection on which an upstream refused a request

Cause: an answer that names a request is matched with it, but a refusal need not name one (`Not-Executed: 1` with status 503, and 421). On a kept connection the repeated refusal was taken for the answer to the next request.

Evidence: a_refusal_that_is_repeated_refuses_no_other_request; before, the second request is refused as not run while the upstream runs it (`left: Err(Refusal { reason: Shed, verdict: NotRun, .. }) right: Ok(200)`).

Ruled out: a repeat that arrives together with the first refusal, or while the connection is idle; unread bytes close it.

Change: a connection that has carried a refusal is closed. Refusals by upstreams are rare, since the node keeps to their slots, so few connections are added.

Open: a node of a group reuses a connection after an upstream has rejected a fencing token; answers in groups name no request at all.

Result: the test passes.

--- a/crates/node/src/fleet/upstream.rs
+++ b/crates/node/src/fleet/upstream.rs
@@ -161,7 +161,10 @@
             let is_stale =
                 meta.id.as_ref().is_some_and(|id| *id != call.meta.id);
             if !is_stale {
-                exchange.finish(response.keep_alive);
+                // A refusal need not name its request. If the upstream writes
+                // it once more, it must not refuse the next one.
+                let refused = meta.not_run || meta.misdirected;
+                exchange.finish(response.keep_alive && !refused);
                 return Ok((response, meta));
             }
             response = exchange.receive_next().await?;
