Give up on answers whose head or framing does not end

Cause: informational responses (1xx) before the final one were skipped without a limit, so a node read them until the request's time was over. The limit of a chunked body counts its content only, so with chunks of one byte a node read six times as much. And a read of bytes that have arrived does not wait, so while a fast sender sends, no other connection and no timer gets a turn.

Evidence: an_answer_without_end_is_given_up, eight answers without end against the client of the upstream.

Ruled out: heads without end (32 KB, then given up), bodies until the end of the connection (16 MB), and a chunk extension without end.

Change: at most 16 informational responses are skipped; the framing of a chunked body may be as large as its limit again; reading pauses for 1 ms after each 256 KB.

--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -27,6 +27,10 @@
 /// Largest message head: request or status line, and headers.
 pub const MAX_HEAD_BYTES: usize = 32 * 1024;
 
+/// Most informational responses (1xx) before a final one. An upstream that
+/// sends them without end would keep the reader busy for good.
+pub const MAX_INFORMATIONAL_COUNT: usize = 16;
+
 /// Capacity by which a read buffer in use grows.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -34,6 +38,15 @@
 /// the buffer stays allocated while the connection waits for a message.
 const FIRST_READ_BYTES: usize = 2 * 1024;
 
+/// Number of bytes after which reading from a connection pauses. A read of
+/// bytes that have arrived already does not wait, so a fast sender would keep
+/// all other connections waiting.
+const PAUSE_BYTES: usize = 256 * 1024;
+
+/// Length of such a pause. The event loop turns to timers and to other sockets
+/// only if there is something to wait for.
+const READ_PAUSE: Duration = Duration::from_millis(1);
+
 /// Largest write buffer that a connection keeps between messages.
 const MAX_KEPT_OUT_BYTES: usize = 1024;
 
@@ -100,6 +113,8 @@
     out: BytesMut,
     write_timeout: Duration,
     unframed: bool,
+    /// Bytes read since the last pause.
+    since_pause: usize,
 }
 
 impl Conn {
@@ -126,7 +141,14 @@
     pub fn from_stream(stream: S) -> Self {
         let (buf, out) = (BytesMut::new(), BytesMut::new());
         let write_timeout = Duration::MAX;
-        Self { stream, buf, out, write_timeout, unframed: false }
+        Self {
+            stream,
+            buf,
+            out,
+            write_timeout,
+            unframed: false,
+            since_pause: 0,
+        }
     }
 
     /// Accepts a body without a length as complete if the connection ends
@@ -186,6 +208,11 @@
         let begin = buf.len();
         let (result, slice) = self.stream.read(buf.slice_mut(begin..)).await;
         self.buf = slice.into_inner();
+        self.since_pause += *result.as_ref().unwrap_or(&0);
+        if self.since_pause >= PAUSE_BYTES {
+            self.since_pause = 0;
+            monoio::time::sleep(READ_PAUSE).await;
+        }
         result
     }
 
@@ -222,15 +249,23 @@
     }
 
     /// Reads the head of a final response. Informational responses (1xx) are
-    /// skipped.
+    /// skipped, up to [`MAX_INFORMATIONAL_COUNT`].
     ///
     /// # Errors
     ///
     /// Returns an error if the head is cut off, oversized or malformed.
     pub async fn response_head(&mut self) -> Result<ResponseHead, WireError> {
+        let mut skipped = 0;
         loop {
             match decode_response(&mut self.buf)? {
-                Some(head) if head.status.is_informational() => continue,
+                Some(head) if head.status.is_informational() => {
+                    skipped += 1;
+                    if skipped > MAX_INFORMATIONAL_COUNT {
+                        let what = "too many informational responses";
+                        return Err(WireError::Malformed(what.to_owned()));
+                    }
+                    continue;
+                }
                 Some(head) => return Ok(head),
                 None => {}
             }
@@ -298,8 +333,12 @@
     ) -> Result<Bytes, WireError> {
         let mut decoder = ChunkedBodyDecoder::default();
         let mut body = BytesMut::new();
+        let mut consumed = 0;
         loop {
-            match decoder.decode(&mut self.buf).map_err(decode_error)? {
+            let before = self.buf.len();
+            let decoded = decoder.decode(&mut self.buf);
+            consumed += before - self.buf.len();
+            match decoded.map_err(decode_error)? {
                 Decoded::Some(None) => return Ok(body.freeze()),
                 Decoded::Some(Some(chunk)) => body.extend_from_slice(&chunk),
                 // The decoder needs a whole chunk in the buffer, so the limit
@@ -313,7 +352,8 @@
                     }
                 }
             }
-            if body.len() > limit {
+            // The framing of very small chunks is many times their content.
+            if body.len() > limit || consumed > 2 * limit {
                 return Err(WireError::BodyTooLarge);
             }
         }
