Limit the bytes of all answers that are being read

Cause: each answer is limited to 16 MB, but nothing limited all of them. An upstream with 18 slots can make its node hold 288 MB; VMs have 160 to 512 MB, and a process above its share is killed.

Evidence: answers_without_end_share_a_limit, 18 answers without end at the same time.

Change: the bodies that are being read from one kind of peer take their bytes from a budget of 32 MB. A body that finds it used up is given up like one that is too large. Complete answers are not affected before they reach it.

--- a/crates/node/src/fleet/pool.rs
+++ b/crates/node/src/fleet/pool.rs
@@ -12,6 +12,7 @@
 use monoio::net::TcpStream;
 use monoio::time::timeout;
 
+use crate::budget::Budget;
 use crate::clock;
 use crate::http::{ExchangeError, Response, exchange, receive};
 use crate::wire::{Conn, set_option};
@@ -20,6 +21,10 @@
 /// memory on both sides, and a burst of requests opens many.
 const MAX_IDLE_COUNT: usize = 12;
 
+/// Most bytes that the response bodies being read may take together, whatever
+/// the limit of each. A VM may have as little as 160 MB of memory.
+const MAX_BUFFERED_BYTES: usize = 32 * 1024 * 1024;
+
 /// Idle time after which a connection is closed, which happens when another
 /// one to the same address becomes idle.
 const MAX_IDLE_AGE_MS: u64 = 5_000;
@@ -43,6 +48,7 @@
     idle: IdleConns,
     connect_timeout: Duration,
     max_body: usize,
+    budget: Budget,
 }
 
 /// An exchange over a connection of its own. Dropping it before
@@ -63,7 +69,8 @@
     /// bytes.
     #[must_use]
     pub fn new(connect_timeout: Duration, max_body: usize) -> Self {
-        Self { idle: Rc::default(), connect_timeout, max_body }
+        let budget = Budget::new(MAX_BUFFERED_BYTES);
+        Self { idle: Rc::default(), connect_timeout, max_body, budget }
     }
 
     /// Closes all idle connections to an address.
@@ -97,6 +104,7 @@
         enable_keepalive(&stream);
         let mut conn = Conn::new(stream);
         conn.allow_unframed();
+        conn.set_budget(self.budget.clone());
         Ok(self.new_exchange(conn, addr, true))
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! uses the adapters through the traits of [`ports`], so that another wire
 //! format or a test double only takes another adapter.
 
+pub mod budget;
 pub mod clock;
 pub mod control;
 pub mod fleet;
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -22,6 +22,7 @@
     ChunkedBodyDecoder, DecodeError, RequestHeadDecoder, ResponseHeadDecoder,
 };
 
+use crate::budget::{Budget, Reservation};
 use crate::message::is_passed_on;
 
 /// Largest message head: request or status line, and headers.
@@ -113,6 +114,7 @@
     out: BytesMut,
     write_timeout: Duration,
     unframed: bool,
+    budget: Option<Budget>,
     /// Bytes read since the last pause.
     since_pause: usize,
 }
@@ -147,6 +149,7 @@
             out,
             write_timeout,
             unframed: false,
+            budget: None,
             since_pause: 0,
         }
     }
@@ -157,6 +160,12 @@
         self.unframed = true;
     }
 
+    /// Makes the bodies that are being read take their bytes from `budget`.
+    /// By default only the limit of each body applies.
+    pub fn set_budget(&mut self, budget: Budget) {
+        self.budget = Some(budget);
+    }
+
     /// Sets the value of [`Conn::write_timeout`].
     pub fn set_write_timeout(&mut self, timeout: Duration) {
         self.write_timeout = timeout;
@@ -285,15 +294,18 @@
         framing: Framing,
         limit: usize,
     ) -> Result<Bytes, WireError> {
+        let mut reserved = Reservation::new(self.budget.clone());
         match framing {
             Framing::Length(0) => Ok(Bytes::new()),
             Framing::Length(size) if size > limit => {
                 Err(WireError::BodyTooLarge)
             }
-            Framing::Length(size) => self.read_fixed(size).await,
-            Framing::Chunked => self.read_chunked(limit).await,
+            Framing::Length(size) => {
+                self.read_fixed(size, &mut reserved).await
+            }
+            Framing::Chunked => self.read_chunked(limit, &mut reserved).await,
             Framing::UntilClose if self.unframed => {
-                self.read_to_end(limit).await
+                self.read_to_end(limit, &mut reserved).await
             }
             Framing::UntilClose => Err(WireError::Malformed(
                 "the end of the body cannot be told from a cut".to_owned(),
@@ -301,11 +313,16 @@
         }
     }
 
-    async fn read_fixed(&mut self, size: usize) -> Result<Bytes, WireError> {
+    async fn read_fixed(
+        &mut self,
+        size: usize,
+        reserved: &mut Reservation,
+    ) -> Result<Bytes, WireError> {
         if self.buf.capacity() < size {
             self.buf.reserve(size - self.buf.len());
         }
         while self.buf.len() < size {
+            reserved.grow_to(self.buf.len())?;
             if let Ok(0) | Err(_) = self.fill().await {
                 return Err(WireError::Closed);
             }
@@ -314,11 +331,16 @@
     }
 
     /// Reads a body that ends with the connection.
-    async fn read_to_end(&mut self, limit: usize) -> Result<Bytes, WireError> {
+    async fn read_to_end(
+        &mut self,
+        limit: usize,
+        reserved: &mut Reservation,
+    ) -> Result<Bytes, WireError> {
         loop {
             if self.buf.len() > limit {
                 return Err(WireError::BodyTooLarge);
             }
+            reserved.grow_to(self.buf.len())?;
             match self.fill().await {
                 Ok(0) => return Ok(self.buf.split().freeze()),
                 Ok(_) => {}
@@ -330,6 +352,7 @@
     async fn read_chunked(
         &mut self,
         limit: usize,
+        reserved: &mut Reservation,
     ) -> Result<Bytes, WireError> {
         let mut decoder = ChunkedBodyDecoder::default();
         let mut body = BytesMut::new();
@@ -347,6 +370,7 @@
                     return Err(WireError::BodyTooLarge);
                 }
                 _ => {
+                    reserved.grow_to(body.len() + self.buf.len())?;
                     if let Ok(0) | Err(_) = self.fill().await {
                         return Err(WireError::Closed);
                     }
