--- a/crates/core/src/fleet/documents.rs
+++ b/crates/core/src/fleet/documents.rs
@@ -243,7 +243,8 @@
         feed.listed = revision;
         feed.revision = Some(feed.revision.unwrap_or(0).max(revision));
         if kind == ObjectKind::Domains {
-            let names = items.into_iter().map(|item| item.name).collect();
+            let names = items.into_iter().map(|item| item.name);
+            let names = names.filter(|name| !name.is_empty()).collect();
             self.apply_domains(names, revision, now, out);
             return;
         }
