Bound the interval of checks from below

A deployment that sets config_ms or evacuate_ms to 0 would have the checking nodes list the operator's documents on each tick, 40 times a second. The interval is 200 ms at least.

--- a/crates/core/src/fleet/settings.rs
+++ b/crates/core/src/fleet/settings.rs
@@ -103,6 +103,10 @@
 /// time is for the node to learn of it.
 const DOMAINS_CHECK_RATIO: f64 = 0.3;
 
+/// Shortest interval between checks, whatever the bounds: each is a billed
+/// call.
+const MIN_CHECK_MS: u64 = 200;
+
 /// Part of the drain period, at its end, in which an upstream is sent no
 /// requests: those sent before must have arrived.
 const DRAIN_MARGIN_MS: u64 = 500;
@@ -128,7 +132,7 @@
     #[must_use]
     pub fn config_check_ms(&self) -> u64 {
         let bound = self.config_ms.unwrap_or(CONFIG_DEFAULT_MS);
-        (bound * CONFIG_CHECK_RATIO) as u64
+        MIN_CHECK_MS.max((bound * CONFIG_CHECK_RATIO) as u64)
     }
 
     /// Interval at which the failure domains out of service are listed, in
@@ -136,7 +140,7 @@
     #[must_use]
     pub fn domains_check_ms(&self) -> u64 {
         let bound = self.evacuate_ms.unwrap_or(EVACUATE_DEFAULT_MS);
-        (bound * DOMAINS_CHECK_RATIO) as u64
+        MIN_CHECK_MS.max((bound * DOMAINS_CHECK_RATIO) as u64)
     }
 
     /// Interval between two announcements of an upstream, in milliseconds.
