Apply what an answer says only to the instance that said it

Cause: an answer of the earlier instance can arrive after the next one has announced itself at the same address. Its limit, and that it leaves, were then taken for those of the new instance, which would never say otherwise.

Evidence: an_answer_of_an_earlier_instance_says_nothing_of_the_next; before, the new instance is sent nothing (`left: 0 right: 1`).

Change: an answer counts only if its request was sent after the first announcement of the current instance.

--- a/crates/core/src/fleet/upstream.rs
+++ b/crates/core/src/fleet/upstream.rs
@@ -149,6 +149,8 @@
 #[derive(Clone, Debug)]
 pub struct LocalUpstream {
     instance: Option<Instance>,
+    /// When the first announcement of the instance arrived.
+    instance_since: Millis,
     phase: Phase,
     /// When the current instance was first known to be leaving, from an
     /// announcement or an answer.
@@ -181,6 +183,7 @@
         let until = now.plus(extend_for_drift(MAX_GRANT_MS));
         Self {
             instance: None,
+            instance_since: now,
             phase: Phase::Ready,
             leaving: None,
             leaving_at_start: false,
@@ -213,6 +216,7 @@
                 self.leaving_at_start = self.instance.is_none()
                     && announcement.phase != Phase::Ready;
                 self.instance = Some(announcement.instance.clone());
+                self.instance_since = now;
                 self.phase = Phase::Ready;
                 self.leaving = None;
                 self.rate_limit = None;
@@ -437,7 +441,7 @@
     }
 
     /// Applies what the upstream says of itself in an answer to a request that
-    /// was sent at `sent`. Only an answer to a request that was sent after the
+    /// was sent at `sent`, unless an earlier instance said it. Only an answer to a request that was sent after the
     /// limit was last stated can end it: answers may overtake each other.
     pub fn apply_condition(
         &mut self,
@@ -445,6 +449,9 @@
         sent: Millis,
         now: Millis,
     ) {
+        if sent < self.instance_since {
+            return;
+        }
         self.answered = true;
         if let Some(left_ms) = condition.cold_ms {
             self.set_cold(left_ms, now);
--- a/crates/core/tests/fleet/limits.rs
+++ b/crates/core/tests/fleet/limits.rs
@@ -242,6 +242,23 @@
     assert_eq!(dispatches(&harness.peer_request(0, 900)), 0);
 }
 
+/// Guards against what an earlier instance said in an answer that arrives when
+/// the next instance has announced itself already.
+#[test]
+fn an_answer_of_an_earlier_instance_says_nothing_of_the_next() {
+    let mut harness = answered(Condition::default());
+    let ticket = harness.next_ticket;
+    assert_eq!(dispatches(&harness.peer_request(0, 5_000)), 1);
+    harness.now += RUN_MS;
+    harness.announce_instance("u9", 5);
+    let condition = Condition { rate_limit: Some(1.0), ..leaving() };
+    answer(&mut harness, ticket, condition);
+    harness.now += 2 * DRAIN_MS;
+    for _ in 0..4 {
+        assert_eq!(dispatches(&harness.peer_request(0, 900)), 1);
+    }
+}
+
 /// Guards against an upstream that leaves and whose next instance gets no
 /// requests.
 #[test]
