--- a/crates/core/src/fleet/peer_sync.rs
+++ b/crates/core/src/fleet/peer_sync.rs
@@ -8,7 +8,7 @@
 use crate::fleet::gossip::Gossip;
 use crate::fleet::rate_limit::RateLimit;
 use crate::fleet::reducer::Fleet;
-use crate::id::Fingerprint;
+use crate::fleet::request::notify_harmful;
 
 /// Time allowed for a watch to deliver a version that gossip has shown, before
 /// it is fetched from a peer.
@@ -198,13 +198,3 @@
         }
     }
 }
-
-/// Logs requests that have become harmful.
-pub(super) fn notify_harmful(
-    requests: impl IntoIterator<Item = Fingerprint>,
-    out: &mut Vec<Effect>,
-) {
-    for request in requests {
-        out.push(Effect::Notice(Notice::Harmful { request }));
-    }
-}
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -415,6 +415,16 @@
     }
 }
 
+/// Logs requests that have become harmful.
+pub(super) fn notify_harmful(
+    requests: Vec<Fingerprint>,
+    out: &mut Vec<Effect>,
+) {
+    for request in requests {
+        out.push(Effect::Notice(Notice::Harmful { request }));
+    }
+}
+
 /// Refusal of a request that crashes upstreams. It names no time after which
 /// to come back, since the request would be refused again.
 fn harmful_refusal() -> Refusal {
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -2,12 +2,12 @@
 
 use super::{
     Entry, MIN_TIME_LEFT_RATIO, RETRY_AFTER_DEFAULT_MS, RETRY_AFTER_RANGE_MS,
-    SUCCESS_WEIGHT_RATIO, State, harmful_refusal, refusal_with_retry,
+    SUCCESS_WEIGHT_RATIO, State, harmful_refusal, notify_harmful,
+    refusal_with_retry,
 };
 use crate::clock::Millis;
 use crate::fleet::effect::{Effect, Notice};
 use crate::fleet::event::{Order, Outcome, Source};
-use crate::fleet::peer_sync::notify_harmful;
 use crate::fleet::queue::QueuedRequest;
 use crate::fleet::rate_limit::RateLimit;
 use crate::fleet::reducer::Fleet;
