Keep lost requests, the time of a quarantine and answers in one place each

- CrashMemory had a list of requests that ended without an answer, beside the one of Suspects with the same bound.
Suspects::record_crash_since now takes the time from which they count, and record_crash calls it.
- The ten minutes for which a request is refused stood in CrashMemory and in the tracker that it uses; the tracker's constant serves both.
- The requests in a record are no longer looked up a second time.
- An answer of the local upstream to a caller of the same node was recorded twice, when it arrived and when the attempt ended.
Answers of peers are now recorded where they arrive, like those of the upstream.

--- a/crates/core/src/fleet/crash_memory.rs
+++ b/crates/core/src/fleet/crash_memory.rs
@@ -13,24 +13,18 @@
 //! ever be forgotten. Its record in the store names them as well, for a restart
 //! of all nodes at once.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use crate::clock::Millis;
 use crate::fleet::lease::HarmfulRequest;
 use crate::id::Fingerprint;
 use crate::request::poison::Suspects;
-use crate::request::poison_tracker::PoisonTracker;
+use crate::request::poison_tracker::{PoisonTracker, QUARANTINE_MS};
 
 /// Number of upstream crashes, over all nodes, after which a request is
 /// harmful.
 const CRASH_LIMIT_COUNT: u32 = 3;
 
-/// Most requests that are remembered because they ended without an answer.
-const MAX_LOST_COUNT: usize = 48;
-
-/// Time for which a request is refused after it has been found harmful.
-const HARMFUL_MS: u64 = 600_000;
-
 /// Most harmful requests that are remembered.
 const MAX_HARMFUL_COUNT: usize = 64;
 
@@ -56,8 +50,6 @@
 pub(super) struct CrashMemory {
     /// Crashes of the local upstream.
     own: Suspects,
-    /// Requests that ended at the local upstream without an answer.
-    lost: VecDeque<(Fingerprint, Millis)>,
     /// Crashes of all upstreams.
     tracker: PoisonTracker<Process>,
     harmful: BTreeMap<Fingerprint, Harmful>,
@@ -71,7 +63,6 @@
         let tracker = PoisonTracker::new(CRASH_LIMIT_COUNT);
         Self {
             own: Suspects::new(),
-            lost: VecDeque::new(),
             tracker,
             harmful: BTreeMap::new(),
             unrecorded: false,
@@ -97,10 +88,7 @@
 
     /// Records that a request ended at the local upstream without an answer.
     pub(super) fn record_lost(&mut self, request: Fingerprint, now: Millis) {
-        if self.lost.len() >= MAX_LOST_COUNT {
-            self.lost.pop_front();
-        }
-        self.lost.push_back((request, now));
+        self.own.record_lost(request, now);
     }
 
     /// Records a crash of the local upstream while these requests were
@@ -113,10 +101,7 @@
         since: Millis,
         now: Millis,
     ) -> (usize, Vec<Fingerprint>) {
-        let lost = std::mem::take(&mut self.lost);
-        let lost = lost.into_iter().filter(|lost| lost.1 >= since);
-        let all = running.into_iter().chain(lost.map(|lost| lost.0));
-        let suspects = self.own.record_crash(all, now);
+        let suspects = self.own.record_crash_since(running, since, now);
         let count = suspects.len();
         let counted = self.tracker.record(suspects, now);
         (count, self.add_harmful(counted, true, now))
@@ -155,7 +140,7 @@
         counted: bool,
         now: Millis,
     ) -> Vec<Fingerprint> {
-        let until = now.plus(HARMFUL_MS);
+        let until = now.plus(QUARANTINE_MS);
         let mut new = Vec::new();
         for request in requests {
             let known = self.harmful.get(&request);
@@ -188,19 +173,16 @@
     /// this node has found harmful, as often as [`CRASH_LIMIT_COUNT`].
     pub(super) fn report(&self, now: Millis) -> Vec<Fingerprint> {
         let mut report = self.own.report(now);
-        for request in self.found_harmful(now) {
+        for (_, request) in self.found_harmful(now) {
             let times = CRASH_LIMIT_COUNT as usize;
             report.extend(std::iter::repeat_n(request, times));
         }
         report
     }
 
-    /// The requests that this node has found harmful, the latest first, at
-    /// most [`MAX_REPORTED_COUNT`].
-    fn found_harmful(
-        &self,
-        now: Millis,
-    ) -> impl Iterator<Item = Fingerprint> + use<> {
+    /// The requests that this node has found harmful and when each is
+    /// forgotten, the latest first, at most [`MAX_REPORTED_COUNT`].
+    fn found_harmful(&self, now: Millis) -> Vec<(Millis, Fingerprint)> {
         let mut found: Vec<(Millis, Fingerprint)> = Vec::new();
         for (&request, entry) in &self.harmful {
             if entry.counted && entry.until > now {
@@ -208,20 +190,20 @@
             }
         }
         found.sort();
-        let latest = found.into_iter().rev().take(MAX_REPORTED_COUNT);
-        latest.map(|(_, request)| request)
+        found.reverse();
+        found.truncate(MAX_REPORTED_COUNT);
+        found
     }
 
     /// The requests that this node has found harmful, for its record in the
     /// store, with the time for which they are still refused.
     pub(super) fn recorded(&self, now: Millis) -> Vec<HarmfulRequest> {
-        let mut recorded = Vec::new();
-        for request in self.found_harmful(now) {
-            let Some(entry) = self.harmful.get(&request) else { continue };
-            let left_ms = entry.until.since(now);
-            recorded.push(HarmfulRequest { request, left_ms });
-        }
-        recorded
+        let found = self.found_harmful(now).into_iter();
+        let recorded = found.map(|(until, request)| {
+            let left_ms = until.since(now);
+            HarmfulRequest { request, left_ms }
+        });
+        recorded.collect()
     }
 
     /// Adopts the requests in a node's record. They were counted before the
@@ -233,7 +215,7 @@
         now: Millis,
     ) {
         for &HarmfulRequest { request, left_ms } in recorded {
-            let until = now.plus(left_ms.min(HARMFUL_MS));
+            let until = now.plus(left_ms.min(QUARANTINE_MS));
             let entry = Harmful { until, counted: true };
             self.harmful.entry(request).or_insert(entry);
         }
--- a/crates/core/src/fleet/request/ingress.rs
+++ b/crates/core/src/fleet/request/ingress.rs
@@ -407,7 +407,11 @@
             return;
         }
         entry.state = State::Concluding;
+        let request = entry.fingerprint;
         let node = entry.tried_nodes.last().cloned().unwrap_or_default();
+        if let Ok(status) = outcome.result {
+            self.requests.crashes.record_answer(request, status, now);
+        }
         if let Some(peer) = self.directory.get_mut(&node) {
             if let Some(Load { inflight, mean_ms }) = outcome.load {
                 peer.gossip.inflight = inflight;
@@ -439,8 +443,6 @@
         let refusal = match result {
             Ok(status) => {
                 entry.attempts = entry.attempts.saturating_sub(1);
-                let request = entry.fingerprint;
-                self.requests.crashes.record_answer(request, status, now);
                 let failed = status >= 500 && entry.order.idempotent;
                 if failed && self.try_retry(ticket, now) {
                     return self.place(ticket, now, out);
--- a/crates/core/src/request/poison.rs
+++ b/crates/core/src/request/poison.rs
@@ -107,10 +107,21 @@
         in_flight: impl IntoIterator<Item = Fingerprint>,
         now: Millis,
     ) -> Vec<Fingerprint> {
-        let recent =
-            |lost: &(Fingerprint, Millis)| now.since(lost.1) <= LOST_WINDOW_MS;
+        let since = Millis(now.0.saturating_sub(LOST_WINDOW_MS));
+        self.record_crash_since(in_flight, since, now)
+    }
+
+    /// Like [`Suspects::record_crash`], but attributes to the crash all
+    /// connections that were lost at `since` or later.
+    pub fn record_crash_since(
+        &mut self,
+        in_flight: impl IntoIterator<Item = Fingerprint>,
+        since: Millis,
+        now: Millis,
+    ) -> Vec<Fingerprint> {
         let lost = std::mem::take(&mut self.lost);
-        let lost = lost.into_iter().filter(recent).map(|lost| lost.0);
+        let lost = lost.into_iter().filter(|lost| lost.1 >= since);
+        let lost = lost.map(|lost| lost.0);
         let mut all: Vec<Fingerprint> = in_flight.into_iter().collect();
         all.extend(lost);
         all.sort();
--- a/crates/core/src/request/poison_tracker.rs
+++ b/crates/core/src/request/poison_tracker.rs
@@ -7,7 +7,7 @@
 
 /// Time for which such requests are refused after the last crash, and for
 /// which crashes are remembered.
-const QUARANTINE_MS: u64 = 600_000;
+pub(crate) const QUARANTINE_MS: u64 = 600_000;
 
 /// Most fingerprints that are refused at once. Plans carry the list, and each
 /// entry takes up to 10 bytes of a datagram.
