--- a/crates/core/examples/fleet.rs
+++ b/crates/core/examples/fleet.rs
@@ -20,7 +20,7 @@
 };
 use lagoondyke_core::fleet::gossip::Gossip;
 use lagoondyke_core::fleet::lease::Record;
-use lagoondyke_core::fleet::settings::{Bounds, Settings};
+use lagoondyke_core::fleet::settings::{Bounds, GrantMode, Settings};
 use lagoondyke_core::fleet::table::{Instance, MAX_KEY, Share, Table};
 use lagoondyke_core::fleet::upstream::{Announcement, Phase};
 use lagoondyke_core::id::{Fingerprint, Ticket};
@@ -50,6 +50,7 @@
         gossip: 6,
         metrics: 7,
         store: addr(8),
+        grants: GrantMode::Heartbeat,
         bounds: Bounds {
             stop_s: Some(6.0),
             hold_ms: Some(10_000.0),
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -22,6 +22,7 @@
 pub mod effect;
 pub mod event;
 pub mod gossip;
+pub mod grant_calls;
 pub mod key_load;
 pub mod lease;
 mod moves;
--- a/crates/core/src/fleet/announce.rs
+++ b/crates/core/src/fleet/announce.rs
@@ -4,6 +4,7 @@
 use crate::fleet::effect::{Effect, Notice};
 use crate::fleet::reducer::Fleet;
 use crate::fleet::rules;
+use crate::fleet::settings::GrantMode;
 use crate::fleet::upstream::{
     Announcement, Grant, Granted, MAX_GRANT_MS, Recency,
 };
@@ -45,6 +46,7 @@
                 self.record_crash(since, now, out);
             }
             self.requests.upstream_restarted();
+            self.calls.on_new_instance();
             let id = announcement.instance.id.clone();
             out.push(Effect::Notice(Notice::UpstreamStarted { id }));
             self.gossip_due = now;
@@ -55,6 +57,12 @@
         self.refuse_queued(now, out);
         self.plan_moves(now, out);
         self.reconcile(now, out);
+        if self.settings.grants == GrantMode::Direct {
+            let grant = Grant::default();
+            out.push(Effect::Acknowledge { ticket, grant });
+            self.call_upstream(now, out);
+            return;
+        }
         if self.is_claiming() && self.upstream.is_ready() {
             self.answer_waiting_announcement(now, out);
             self.waiting_announcement = Some((ticket, now));
@@ -145,13 +153,21 @@
         let remaining_ms = self.lease.remaining_ms(now);
         let longest_grant = MAX_GRANT_MS.min(self.settings.bounds.hold_ms());
         let hold_ms = rules::grant_duration_ms(remaining_ms, longest_grant);
-        let stored = self.tables.get(&self.settings.service);
-        if hold_ms == 0
-            || !rules::may_grant(self.claimed_term(), self.term, remaining_ms)
-        {
+        if hold_ms == 0 {
             return Grant::default();
         }
-        let Some(stored) = stored else { return Grant::default() };
+        let ranges = self.granted_ranges(now);
+        ranges.map_or_else(Grant::default, |all| Grant::of(all, hold_ms))
+    }
+
+    /// The ranges that the upstream is to hold; `None` while the node may
+    /// grant none.
+    pub(super) fn granted_ranges(&self, now: Millis) -> Option<Vec<Granted>> {
+        let remaining_ms = self.lease.remaining_ms(now);
+        let stored = self.tables.get(&self.settings.service)?;
+        if !rules::may_grant(self.claimed_term(), self.term, remaining_ms) {
+            return None;
+        }
         let serving = self.is_serving(now);
         let mut granted = Vec::new();
         for range in stored.table.ranges_of(&self.settings.node) {
@@ -174,7 +190,7 @@
                 }
             }));
         }
-        Grant::of(granted, hold_ms)
+        Some(granted)
     }
 
     pub(super) fn on_upstream_down(
--- a/crates/core/src/fleet/effect.rs
+++ b/crates/core/src/fleet/effect.rs
@@ -4,8 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::fleet::event::{Call, ObjectKind, Order, Value};
+use crate::clock::Millis;
+use crate::fleet::event::{Call, CallOutcome, ObjectKind, Order, Value};
 use crate::fleet::gossip::Gossip;
+use crate::fleet::grant_calls::UpstreamCall;
 use crate::fleet::proposal::Proposal;
 use crate::fleet::upstream::Grant;
 use crate::id::{Fingerprint, Ticket};
@@ -59,6 +61,21 @@
         /// Ranges that the upstream is to hold.
         grant: Grant,
     },
+    /// Call the upstream about the keys that it holds; ends with
+    /// `Event::CallDone`.
+    CallUpstream {
+        /// Handle of the call.
+        ticket: Ticket,
+        /// Name of the upstream that is to be called.
+        upstream: String,
+        /// The call.
+        call: UpstreamCall,
+        /// When the call is given up; it must not arrive later.
+        expires: Millis,
+        /// Until when a connection may be opened for it. Later it may only be
+        /// sent over one that is open.
+        connect_until: Millis,
+    },
     /// Forward a request to its owner's node; ends with `Event::PeerDone`.
     Forward {
         /// Handle of the request.
@@ -281,6 +298,15 @@
         /// Number of requests that may have crashed it.
         suspects: usize,
     },
+    /// A call to the upstream was not confirmed.
+    CallFailed {
+        /// The call.
+        call: UpstreamCall,
+        /// How it ended.
+        outcome: CallOutcome,
+        /// Time since it was sent.
+        age_ms: u64,
+    },
     /// The upstream names a limit on its rate of requests, or no longer does.
     Limited {
         /// Requests per second, rounded down; `None` without a limit.
--- a/crates/core/src/fleet/event.rs
+++ b/crates/core/src/fleet/event.rs
@@ -134,6 +134,41 @@
     Tables(Vec<(String, u64, Table)>),
 }
 
+/// How a call to the upstream ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CallOutcome {
+    /// The upstream has done what it was asked for.
+    Done {
+        /// Handover token of the released keys, if there is one.
+        handover: Option<String>,
+    },
+    /// The upstream refused the call, which has no effect.
+    Rejected,
+    /// The call was not sent.
+    Unsent,
+    /// There was no answer: the call may have taken effect, or may do so later.
+    Unknown,
+}
+
+impl CallOutcome {
+    /// Name for logs and metrics.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Done { .. } => "answered",
+            Self::Rejected => "refused",
+            Self::Unsent => "unsent",
+            Self::Unknown => "unanswered",
+        }
+    }
+
+    /// Whether the call has reached the upstream without being confirmed.
+    #[must_use]
+    pub fn has_failed(&self) -> bool {
+        matches!(self, Self::Rejected | Self::Unknown)
+    }
+}
+
 /// An event outside the reducer that it must handle.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -164,6 +199,13 @@
         /// State that the upstream reports.
         announcement: Box<Announcement>,
     },
+    /// A call to the upstream ended.
+    CallDone {
+        /// Handle of the call.
+        ticket: Ticket,
+        /// How it ended.
+        outcome: CallOutcome,
+    },
     /// The upstream reported its exit.
     UpstreamLeft {
         /// Name of the upstream.
--- a/crates/core/src/fleet/moves.rs
+++ b/crates/core/src/fleet/moves.rs
@@ -13,6 +13,7 @@
 use crate::fleet::effect::{Effect, Notice};
 use crate::fleet::proposal::Transfer;
 use crate::fleet::reducer::Fleet;
+use crate::fleet::settings::GrantMode;
 use crate::fleet::table::{MAX_KEY, Range, Table};
 
 /// Time after which a node's reported load includes a range that it received:
@@ -256,8 +257,12 @@
     /// Whether another node's upstream announces itself soon after this node's
     /// upstream will have released a range that it is told to release now. The
     /// receiver gets the range only with the answer to an announcement, and
-    /// until then no upstream serves it.
+    /// until then no upstream serves it. One that is granted ranges in calls
+    /// need not announce itself first.
     fn announces_soon(&self, node: &str, now: Millis) -> bool {
+        if self.settings.grants == GrantMode::Direct {
+            return true;
+        }
         let Some(peer) = self.directory.get(node) else { return false };
         let interval = self.settings.bounds.announce_ms();
         let work = self.requests.mean(now) as u64;
--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -12,6 +12,7 @@
 use crate::fleet::effect::{Effect, Notice};
 use crate::fleet::event::{Document, Event, Load, ObjectKind, Outcome};
 use crate::fleet::gossip::{Directory, Versions};
+use crate::fleet::grant_calls::GrantCalls;
 use crate::fleet::key_load::KeyLoad;
 use crate::fleet::lease::{Lease, extend_for_drift};
 use crate::fleet::moves::Moves;
@@ -59,6 +60,7 @@
     /// without a lease.
     pub(super) term: u64,
     pub(super) upstream: LocalUpstream,
+    pub(super) calls: GrantCalls,
     pub(super) directory: Directory,
     pub(super) key_load: KeyLoad,
     pub(super) edit: Edit,
@@ -97,6 +99,7 @@
     ) -> Self {
         let slack = settings.bounds.retry_slack.unwrap_or(0.0);
         let share = settings.bounds.retry_share.unwrap_or(0.0);
+        let mode = settings.grants;
         Self {
             settings,
             incarnation,
@@ -110,7 +113,8 @@
             tables: BTreeMap::new(),
             lease: Lease::default(),
             term: 0,
-            upstream: LocalUpstream::new(now),
+            upstream: LocalUpstream::new(mode, now),
+            calls: GrantCalls::default(),
             directory: Directory::default(),
             key_load: KeyLoad::new(now),
             edit: Edit::new(now),
@@ -152,6 +156,9 @@
             Event::Announced { ticket, announcement } => {
                 self.on_announcement(ticket, &announcement, now, out);
             }
+            Event::CallDone { ticket, outcome } => {
+                self.on_call_done(ticket, outcome, now, out);
+            }
             Event::UpstreamLeft { id } => {
                 self.upstream.set_left(&id, now);
                 out.push(Effect::Notice(Notice::UpstreamLeaving { id }));
@@ -248,6 +255,7 @@
             self.review_due = now.plus(REVIEW_INTERVAL_MS);
             self.track_lost_nodes(now, out);
             self.reconcile(now, out);
+            self.call_upstream(now, out);
         }
         if !self.pending_proposals.is_empty() {
             self.reconcile(now, out);
@@ -304,6 +312,7 @@
         out: &mut Vec<Effect>,
     ) {
         self.reconcile(now, out);
+        self.call_upstream(now, out);
         self.on_owners_changed(now, out);
     }
 
@@ -344,8 +353,8 @@
             && !over(self.out_since, bounds.evacuate_ms())
     }
 
-    /// Whether the upstream has left, or has been silent for so long that all
-    /// its grants have expired.
+    /// Whether the upstream has left, or has been silent for so long that it
+    /// is considered lost.
     pub(super) fn upstream_gone(&self, now: Millis) -> bool {
         self.upstream.has_left()
             || self.upstream.silence_ms(now) > extend_for_drift(MAX_GRANT_MS)
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -275,6 +275,7 @@
         };
         let State::Running(since) = entry.state else { return };
         let (source, request) = (entry.source, entry.fingerprint);
+        let key = entry.order.key;
         entry.state = State::Concluding;
         self.requests.running -= 1;
         match &outcome.result {
@@ -292,6 +293,12 @@
                 }
             }
         }
+        if let (Err(refusal), Some(key)) = (&outcome.result, key)
+            && refusal.reason == Reason::Fenced
+        {
+            self.upstream.doubt_key(key);
+            self.call_upstream(now, out);
+        }
         if source == Source::Caller {
             return self.conclude_attempt(ticket, outcome.result, now, out);
         }
--- a/crates/core/src/fleet/rules.rs
+++ b/crates/core/src/fleet/rules.rs
@@ -20,7 +20,7 @@
 //! ```
 
 use crate::clock::Millis;
-use crate::fleet::lease::shorten_for_drift;
+use crate::fleet::lease::{extend_for_drift, shorten_for_drift};
 
 /// A lease that another node has revoked.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -47,6 +47,26 @@
     shorten_for_drift(shorten_for_drift(remaining_ms)).min(longest_ms)
 }
 
+/// Duration of a grant that is sent in a call, at most `longest_ms`. Its time
+/// counts from when the call arrives, which is up to `arrival_ms` from now,
+/// however late the upstream applies it.
+#[must_use]
+pub fn call_duration_ms(
+    remaining_ms: u64,
+    arrival_ms: u64,
+    longest_ms: u64,
+) -> u64 {
+    let remaining_ms = remaining_ms.saturating_sub(arrival_ms);
+    grant_duration_ms(remaining_ms, longest_ms)
+}
+
+/// Longest time from now for which a call that grants keys for `hold_ms` can
+/// have the upstream hold them, whether or not it is answered.
+#[must_use]
+pub const fn call_effect_ms(hold_ms: u64, arrival_ms: u64) -> u64 {
+    arrival_ms + extend_for_drift(hold_ms)
+}
+
 /// Whether the ranges of a lost node may be reassigned. `claim` is the term of
 /// its claim in the table; 0 if there is none.
 #[must_use]
--- a/crates/core/src/fleet/settings.rs
+++ b/crates/core/src/fleet/settings.rs
@@ -16,6 +16,19 @@
 use crate::jsonc::{self, Check, FieldError, JsoncError, Rule};
 use crate::settings::{LogSettings, MAX_SETTINGS_BYTES};
 
+/// How an upstream is told which keys to hold.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize,
+)]
+#[serde(rename_all = "lowercase")]
+pub enum GrantMode {
+    /// In the answers to its announcements.
+    #[default]
+    Heartbeat,
+    /// By calls of the node to the upstream.
+    Direct,
+}
+
 /// Settings file of one node.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -44,6 +57,10 @@
     pub metrics: u16,
     /// Address of the object store.
     pub store: SocketAddr,
+    /// How the local upstream is told which keys to hold; in the answers to
+    /// its announcements if absent.
+    #[serde(default)]
+    pub grants: GrantMode,
     /// Limits that the deployment sets.
     pub bounds: Bounds,
     /// Log settings; the defaults apply if absent.
--- a/crates/core/src/fleet/upstream.rs
+++ b/crates/core/src/fleet/upstream.rs
@@ -1,20 +1,32 @@
 //! The upstream local to this node, as known from its announcements.
 //!
 //! An upstream announces itself about once a second and is answered with the
-//! key ranges that it is to hold, and for how long. [`LocalUpstream`] tracks
-//! which ranges the upstream may hold at any moment: a granted range counts
-//! until the grant has expired or the upstream has reported its release.
+//! key ranges that it is to hold, and for how long, or is told so in calls.
+//! [`LocalUpstream`] tracks which ranges the upstream may hold at any moment: a
+//! granted range counts until the grant has expired or the upstream has
+//! reported its release.
+//!
+//! A call without an answer may be applied late, even after the upstream has
+//! released the range, and by an instance that started meanwhile. Such a grant
+//! counts until it has expired, whatever the upstream reports.
 
 use crate::clock::Millis;
+use crate::fleet::balance::subtract;
 use crate::fleet::event::Condition;
 use crate::fleet::lease::extend_for_drift;
 use crate::fleet::rate_limit::RateLimit;
+use crate::fleet::rules::call_effect_ms;
+use crate::fleet::settings::GrantMode;
 use crate::fleet::table::Instance;
 
 /// Longest duration of a grant. Announcements come every 0.87 s, so two in a
 /// row may be lost.
 pub const MAX_GRANT_MS: u64 = 3_000;
 
+/// Time from the decision to grant keys in a call until the call is given up.
+/// One that has not arrived by then never will, as its connection is reset.
+pub const MAX_CALL_MS: u64 = 400;
+
 /// Space for ranges in the answer to an announcement. An upstream accepts
 /// answers of at most 4 KiB; the rest is for the surrounding fields.
 const GRANT_ROOM_BYTES: usize = 3_900;
@@ -137,17 +149,41 @@
 }
 
 /// A range that the upstream may hold.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Promise {
     first: u16,
     last: u16,
     /// When the grant has expired at the latest.
     until: Millis,
+    /// Whether the upstream has answered the grant, so that its report of a
+    /// release ends it.
+    answered: bool,
+}
+
+/// A range that is granted to the upstream, for deciding whether requests may
+/// be sent.
+#[derive(Clone, Debug)]
+struct Holding {
+    range: Granted,
+    /// When the grant expires at the earliest.
+    ends: Millis,
+    /// Whether the upstream has shown that it may not hold the range: an
+    /// earlier call that it applied late has replaced the grant.
+    doubtful: bool,
+}
+
+impl Holding {
+    /// The part of the holding within `first..=last`.
+    fn part(&self, (first, last): (u16, u16)) -> Self {
+        let range = Granted { first, last, ..self.range.clone() };
+        Self { range, ends: self.ends, doubtful: self.doubtful }
+    }
 }
 
 /// State of the upstream local to this node.
 #[derive(Clone, Debug)]
 pub struct LocalUpstream {
+    mode: GrantMode,
     instance: Option<Instance>,
     /// When the first announcement of the instance arrived.
     instance_since: Millis,
@@ -167,10 +203,7 @@
     answered: bool,
     /// Whether it was found unreachable since the last announcement.
     down: bool,
-    granted: Vec<Granted>,
-    /// When the current grant expires, for deciding whether requests may be
-    /// sent.
-    grant_ends: Millis,
+    holdings: Vec<Holding>,
     promises: Vec<Promise>,
     released: Vec<Released>,
 }
@@ -179,9 +212,16 @@
     /// An upstream that has not announced itself. An earlier process of this
     /// node may have granted it any range shortly before `now`.
     #[must_use]
-    pub fn new(now: Millis) -> Self {
-        let until = now.plus(extend_for_drift(MAX_GRANT_MS));
+    pub fn new(mode: GrantMode, now: Millis) -> Self {
+        let longest_ms = match mode {
+            GrantMode::Heartbeat => extend_for_drift(MAX_GRANT_MS),
+            GrantMode::Direct => call_effect_ms(MAX_GRANT_MS, MAX_CALL_MS),
+        };
+        let until = now.plus(longest_ms);
+        let (first, last) = (0, u16::MAX);
+        let answered = mode == GrantMode::Heartbeat;
         Self {
+            mode,
             instance: None,
             instance_since: now,
             phase: Phase::Ready,
@@ -194,9 +234,8 @@
             rate_limit: None,
             answered: false,
             down: false,
-            granted: Vec::new(),
-            grant_ends: now,
-            promises: vec![Promise { first: 0, last: u16::MAX, until }],
+            holdings: Vec::new(),
+            promises: vec![Promise { first, last, until, answered }],
             released: Vec::new(),
         }
     }
@@ -220,9 +259,12 @@
                 self.phase = Phase::Ready;
                 self.leaving = None;
                 self.rate_limit = None;
-                self.granted.clear();
-                self.promises.clear();
+                self.holdings.clear();
                 self.released.clear();
+                // A call may have reached the new instance already.
+                if self.mode == GrantMode::Heartbeat {
+                    self.promises.clear();
+                }
             }
             Recency::Current => {}
         }
@@ -237,7 +279,13 @@
             self.leaving.get_or_insert(now);
         }
         self.cold_until = now.plus(announcement.cold_ms);
-        self.update_promises(announcement, now);
+        match self.mode {
+            GrantMode::Heartbeat => self.update_promises(announcement, now),
+            GrantMode::Direct => {
+                self.promises.retain(|p| p.until > now);
+                self.doubt_unreported(&announcement.holds);
+            }
+        }
         recency
     }
 
@@ -257,7 +305,8 @@
     /// Drops promises of ranges that the upstream no longer holds, and adds
     /// ranges that it holds without a known promise.
     fn update_promises(&mut self, announcement: &Announcement, now: Millis) {
-        let granted = self.granted.iter().map(|g| (g.first, g.last));
+        let granted = self.holdings.iter();
+        let granted = granted.map(|h| (h.range.first, h.range.last));
         let held = announcement.holds.iter().map(|h| (h.first, h.last));
         let kept: Vec<(u16, u16)> = granted.chain(held).collect();
         let old = std::mem::take(&mut self.promises);
@@ -269,7 +318,7 @@
                 self.add_promise(Promise {
                     first: first.max(promise.first),
                     last: last.min(promise.last),
-                    until: promise.until,
+                    ..promise
                 });
             }
         }
@@ -280,7 +329,8 @@
             let Held { first, last, .. } = *held;
             let mut known = self.promises.iter();
             if !known.any(|p| p.first <= first && last <= p.last) {
-                self.promises.push(Promise { first, last, until });
+                let answered = true;
+                self.promises.push(Promise { first, last, until, answered });
             }
         }
         for released in &announcement.released {
@@ -295,8 +345,11 @@
         if new.first > new.last {
             return;
         }
-        let covers =
-            |old: &Promise| old.first <= new.first && new.last <= old.last;
+        let covers = |old: &Promise| {
+            old.answered == new.answered
+                && old.first <= new.first
+                && new.last <= old.last
+        };
         let mut known = self.promises.iter_mut().filter(|old| covers(old));
         let known = known.find(|old| {
             old.until >= new.until
@@ -326,18 +379,143 @@
     /// Records the grant in the answer to the latest announcement.
     pub fn record_grant(&mut self, grant: &Grant, now: Millis) {
         let Some(ranges) = &grant.ranges else { return };
-        self.granted.clone_from(ranges);
-        self.grant_ends = now.plus(grant.hold_ms);
+        let ends = now.plus(grant.hold_ms);
+        self.holdings.clear();
         let until = now.plus(extend_for_drift(grant.hold_ms));
         for range in ranges {
-            let (first, last) = (range.first, range.last);
-            self.add_promise(Promise { first, last, until });
+            let held = range.clone();
+            let holding = Holding { range: held, ends, doubtful: false };
+            self.holdings.push(holding);
+            let (first, last, answered) = (range.first, range.last, true);
+            self.add_promise(Promise { first, last, until, answered });
+            self.forget_release(first, last);
         }
-        self.released.retain(|old| {
-            !ranges
-                .iter()
-                .any(|new| new.first <= old.last && old.first <= new.last)
-        });
+    }
+
+    fn forget_release(&mut self, first: u16, last: u16) {
+        self.released.retain(|old| last < old.first || old.last < first);
+    }
+
+    /// Records that a call is sent that can have the upstream hold
+    /// `first..=last` until `until`.
+    pub fn begin_grant(&mut self, first: u16, last: u16, until: Millis) {
+        let answered = false;
+        self.promises.push(Promise { first, last, until, answered });
+    }
+
+    /// Records that the upstream has answered a call that was sent with
+    /// [`LocalUpstream::begin_grant`], and holds `range` until `ends` at least.
+    pub fn confirm_grant(
+        &mut self,
+        range: &Granted,
+        ends: Millis,
+        until: Millis,
+    ) {
+        let Granted { first, last, .. } = *range;
+        self.cancel_grant(first, last, until);
+        let answered = true;
+        self.add_promise(Promise { first, last, until, answered });
+        self.forget_release(first, last);
+        self.drop_holdings(first, last);
+        let (range, doubtful) = (range.clone(), false);
+        self.holdings.push(Holding { range, ends, doubtful });
+    }
+
+    /// Records that the upstream rejected a request since it does not hold the
+    /// key.
+    pub fn doubt_key(&mut self, key: u16) {
+        for holding in &mut self.holdings {
+            let range = &holding.range;
+            holding.doubtful |= range.first <= key && key <= range.last;
+        }
+    }
+
+    /// Compares the ranges that are granted with those that the upstream
+    /// reports to hold.
+    fn doubt_unreported(&mut self, reported: &[Held]) {
+        for holding in &mut self.holdings {
+            let whole = (holding.range.first, holding.range.last);
+            let held = reported.iter().map(|held| (held.first, held.last));
+            holding.doubtful |= !subtract(&[whole], held).is_empty();
+        }
+    }
+
+    /// Records that a call that was sent with [`LocalUpstream::begin_grant`]
+    /// has not arrived or was rejected, and never has an effect.
+    pub fn cancel_grant(&mut self, first: u16, last: u16, until: Millis) {
+        let sent = Promise { first, last, until, answered: false };
+        let sent = self.promises.iter().position(|p| *p == sent);
+        if let Some(index) = sent {
+            self.promises.swap_remove(index);
+        }
+    }
+
+    /// Stops sending requests for `first..=last`, which is to be released.
+    pub fn drop_holdings(&mut self, first: u16, last: u16) {
+        let mut left = Vec::with_capacity(self.holdings.len() + 1);
+        for holding in &self.holdings {
+            let whole = (holding.range.first, holding.range.last);
+            for part in subtract(&[whole], [(first, last)]) {
+                left.push(holding.part(part));
+            }
+        }
+        self.holdings = left;
+    }
+
+    /// Records that the upstream has answered a call to release
+    /// `first..=last`: all grants that it had answered before are over.
+    pub fn confirm_release(
+        &mut self,
+        first: u16,
+        last: u16,
+        handover: Option<String>,
+    ) {
+        self.drop_holdings(first, last);
+        let mut left = Vec::with_capacity(self.promises.len() + 1);
+        for promise in &self.promises {
+            if !promise.answered {
+                left.push(*promise);
+                continue;
+            }
+            let whole = (promise.first, promise.last);
+            for (first, last) in subtract(&[whole], [(first, last)]) {
+                left.push(Promise { first, last, ..*promise });
+            }
+        }
+        self.promises = left;
+        if let Some(handover) = handover {
+            self.released.push(Released { first, last, handover });
+        }
+    }
+
+    /// The ranges that are granted to the upstream, with their fencing tokens,
+    /// whether or not the grants have expired.
+    pub fn granted(&self) -> impl Iterator<Item = Held> {
+        self.holdings.iter().map(|holding| {
+            let Granted { first, last, fence, .. } = holding.range;
+            Held { first, last, fence }
+        })
+    }
+
+    /// Until when all keys of a range are granted under its fencing token;
+    /// `None` if some are not, or may not be.
+    #[must_use]
+    pub fn granted_until(&self, range: Held) -> Option<Millis> {
+        let Held { first, last, fence } = range;
+        let mut ends: Option<Millis> = None;
+        let mut missing = vec![(first, last)];
+        for holding in &self.holdings {
+            let held = &holding.range;
+            if held.fence != fence || held.last < first || last < held.first {
+                continue;
+            }
+            if holding.doubtful {
+                return None;
+            }
+            missing = subtract(&missing, [(held.first, held.last)]);
+            ends = Some(ends.map_or(holding.ends, |e| e.min(holding.ends)));
+        }
+        ends.filter(|_| missing.is_empty())
     }
 
     /// Whether the upstream may hold a key of `first..=last`.
@@ -350,9 +528,10 @@
     /// Whether a key is granted to the upstream and the grant has not expired.
     #[must_use]
     pub fn holds(&self, key: u16, now: Millis) -> bool {
-        let mut granted = self.granted.iter();
-        now < self.grant_ends
-            && granted.any(|g| g.first <= key && key <= g.last)
+        let mut holdings = self.holdings.iter();
+        holdings.any(|Holding { range, ends, .. }| {
+            now < *ends && range.first <= key && key <= range.last
+        })
     }
 
     /// The handover token of the latest release that includes all of
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod crashes;
+mod grant_calls;
 mod limits;
 mod ownership;
 mod proposal;
--- a/crates/core/tests/fleet/ownership.rs
+++ b/crates/core/tests/fleet/ownership.rs
@@ -7,11 +7,11 @@
 use crate::support::{Simulation, StoreFaults};
 
 /// Time for the initial division of the keys.
-const SETTLE_MS: u64 = 4_000;
+pub const SETTLE_MS: u64 = 4_000;
 
 /// Time after the last fault until all keys are served: the duration of a
 /// lost lease, its revocation, and the announcements after it.
-const RECOVERY_MS: u64 = LEASE_DURATION_MS + 5_000;
+pub const RECOVERY_MS: u64 = LEASE_DURATION_MS + 5_000;
 
 /// A fleet whose keys have been divided.
 fn settled(count: usize, seed: u64) -> Simulation {
@@ -258,7 +258,7 @@
 }
 
 /// Starts or ends a random fault.
-fn inject_fault(sim: &mut Simulation) {
+pub fn inject_fault(sim: &mut Simulation) {
     let index = sim.random(5) as usize;
     match sim.random(12) {
         0 => {
@@ -273,6 +273,7 @@
             sim.start_node_in(index, span);
         }
         2 => sim.kill_upstream(index),
+        3 if sim.grants_in_calls() => sim.restart_upstream_in(index, 350),
         3 => sim.start_upstream(index),
         4 => {
             let span = sim.random(9_000);
@@ -295,7 +296,7 @@
 }
 
 /// Ends all faults.
-fn clear_faults(sim: &mut Simulation) {
+pub fn clear_faults(sim: &mut Simulation) {
     sim.store_faults = StoreFaults::default();
     for index in 0..5 {
         sim.set_connected(index, true);
--- a/crates/core/tests/fleet/settings.rs
+++ b/crates/core/tests/fleet/settings.rs
@@ -1,6 +1,6 @@
 //! Parsing of a node's settings in fleet mode.
 
-use lagoondyke_core::fleet::settings::Settings;
+use lagoondyke_core::fleet::settings::{GrantMode, Settings};
 
 const SETTINGS: &str = r#"{
     // Comments are allowed.
@@ -42,6 +42,20 @@
     assert_eq!(bounds.hold_ms(), 10_000);
 }
 
+/// Guards against a node that grants keys in another way than its upstream
+/// expects, and against old settings that are no longer accepted.
+#[test]
+fn keys_are_granted_as_the_settings_say() {
+    let mode = |text: &str| Settings::parse(text).unwrap().grants;
+    assert_eq!(mode(SETTINGS), GrantMode::Heartbeat);
+    for (word, expected) in
+        [("heartbeat", GrantMode::Heartbeat), ("direct", GrantMode::Direct)]
+    {
+        let field = format!("\"grants\": \"{word}\", \"gossip\"");
+        assert_eq!(mode(&SETTINGS.replace("\"gossip\"", &field)), expected);
+    }
+}
+
 /// Guards against settings that are accepted although a node cannot run with
 /// them.
 #[test]
@@ -54,6 +68,7 @@
         ("\"stop_s\": 6", "\"stop_s\": -1", "stop_s"),
         ("\"stop_s\": 6", "\"stop_s\": \"6\"", "stop_s"),
         ("\"node\"", "\"nod\"", "nod"),
+        ("\"gossip\"", "\"grants\": \"push\", \"gossip\"", "heartbeat"),
         ("\"ip\": \"10.0.0.1\"", "\"ip\": \"here\"", "ip"),
     ] {
         let text = SETTINGS.replacen(from, to, 1);
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -11,9 +11,10 @@
 use lagoondyke_core::fleet::config::{Config, Service};
 use lagoondyke_core::fleet::effect::{Effect, Op};
 use lagoondyke_core::fleet::event::{
-    Call, Document, Event, Item, ObjectKind, StoreOutcome, Value,
+    Call, CallOutcome, Document, Event, Item, ObjectKind, StoreOutcome, Value,
 };
-use lagoondyke_core::fleet::settings::{Bounds, Settings};
+use lagoondyke_core::fleet::grant_calls::UpstreamCall;
+use lagoondyke_core::fleet::settings::{Bounds, GrantMode, Settings};
 use lagoondyke_core::fleet::table::Instance;
 use lagoondyke_core::fleet::upstream::{
     Announcement, Grant, Held, Phase, Released,
@@ -55,6 +56,17 @@
     pub watches: WatchFault,
 }
 
+/// Faults of the calls to upstreams about their keys.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CallFaults {
+    /// Share of calls that are not answered, in percent.
+    pub unanswered_percent: u32,
+    /// Calls without an answer are applied late.
+    pub late: bool,
+    /// Calls without an answer are never applied.
+    pub lost: bool,
+}
+
 /// Fault of the store's watches.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum WatchFault {
@@ -69,16 +81,27 @@
 }
 
 /// A range that an upstream holds.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct HeldRange {
     first: u16,
     last: u16,
     fence: u64,
+    /// When its grant expires by the upstream's own, slow clock.
+    until: u64,
     /// When the last request for the range ends; set once a grant leaves the
-    /// range out.
+    /// range out, or it is to be released.
     busy_until: Option<u64>,
 }
 
+/// The answer to a release, which is sent when the work on its keys has ended.
+#[derive(Clone, Debug)]
+struct ReleaseAnswer {
+    at: u64,
+    process: u64,
+    ticket: Ticket,
+    handover: String,
+}
+
 /// A fake upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -88,8 +111,9 @@
     pub phase: Phase,
     instance: Instance,
     ranges: Vec<HeldRange>,
-    /// When its latest grant expires by its own, slow clock.
-    granted_until: u64,
+    /// Tokens that it has seen, by range.
+    seen: Vec<(u16, u16, u64)>,
+    answers: Vec<ReleaseAnswer>,
     /// Releases to report in the next announcements.
     released: Vec<Released>,
     /// Number of announcements of the instance.
@@ -109,6 +133,8 @@
     store_denied: bool,
     /// Number of the current process. Events for earlier ones are dropped.
     process: u64,
+    /// Start time of the instance to which its connections for calls lead.
+    connected_to: u64,
 }
 
 /// Something that happens at a simulated instant.
@@ -120,8 +146,24 @@
     /// The upstream of a node receives the answer to an announcement. The
     /// numbers are the start time of the instance and when it announced.
     Grant(usize, u64, u64, Grant),
+    /// The upstream of a node applies a call, which may have arrived earlier.
+    Call(usize, UpstreamCallInfo),
     /// A node starts.
     Start(usize),
+    /// A new instance of an upstream starts.
+    StartUpstream(usize),
+}
+
+/// A call to an upstream in flight.
+#[derive(Clone, Debug)]
+struct UpstreamCallInfo {
+    process: u64,
+    ticket: Ticket,
+    call: UpstreamCall,
+    /// Start time of the instance to which its connection leads.
+    instance: u64,
+    arrived: u64,
+    answered: bool,
 }
 
 /// A fleet, its upstreams and the store.
@@ -130,6 +172,11 @@
     pub now: u64,
     /// Faults at present.
     pub store_faults: StoreFaults,
+    /// Faults of calls to upstreams.
+    pub call_faults: CallFaults,
+    /// Number of calls to upstreams.
+    pub upstream_calls: u32,
+    mode: GrantMode,
     /// Whether nodes get no answer when they fetch documents from each other.
     pub documents_lost: bool,
     /// The upstream of each node.
@@ -183,6 +230,7 @@
         gossip: 6,
         metrics: 7,
         store: addr(8),
+        grants: GrantMode::default(),
         bounds: Bounds {
             stop_s: Some(6.0),
             hold_ms: Some(10_000.0),
@@ -201,6 +249,12 @@
     /// `count` nodes of one keyed service, all started at once with their
     /// upstreams.
     pub fn new(count: usize, seed: u64) -> Self {
+        Self::with_grants(GrantMode::Heartbeat, count, seed)
+    }
+
+    /// Like [`Simulation::new`]; the upstreams are told their ranges as `mode`
+    /// says.
+    pub fn with_grants(mode: GrantMode, count: usize, seed: u64) -> Self {
         let mut config = Config { version: 1, ..Config::default() };
         let service = Service { keyed: true, ..Service::default() };
         config.services.insert("s".to_owned(), service);
@@ -210,6 +264,9 @@
         let mut sim = Self {
             now: 10_000,
             store_faults: StoreFaults::default(),
+            call_faults: CallFaults::default(),
+            upstream_calls: 0,
+            mode,
             documents_lost: false,
             upstreams: Vec::new(),
             nodes: Vec::new(),
@@ -234,13 +291,15 @@
                 connected: true,
                 store_denied: false,
                 process: 0,
+                connected_to: 0,
             });
             sim.upstreams.push(Upstream {
                 up: false,
                 phase: Phase::Ready,
                 instance: Instance::default(),
                 ranges: Vec::new(),
-                granted_until: 0,
+                seen: Vec::new(),
+                answers: Vec::new(),
                 released: Vec::new(),
                 sequence: 0,
                 announce_at: 0,
@@ -251,6 +310,11 @@
         sim
     }
 
+    /// Whether upstreams are told their ranges in calls.
+    pub fn grants_in_calls(&self) -> bool {
+        self.mode == GrantMode::Direct
+    }
+
     /// A random number less than `below`.
     pub fn random(&mut self, below: u64) -> u64 {
         self.random.random_range(0..below)
@@ -266,7 +330,10 @@
         }
         node.process += 1;
         let incarnation = node.process * 100 + index as u64;
-        node.fleet = Some(Fleet::new(settings(index), incarnation, seed, now));
+        // Its connections have ended with the earlier process.
+        node.connected_to = 0;
+        let settings = Settings { grants: self.mode, ..settings(index) };
+        node.fleet = Some(Fleet::new(settings, incarnation, seed, now));
         let process = node.process;
         self.schedule_after(0, Task::Event(index, process, Event::Tick));
     }
@@ -304,11 +371,20 @@
         let id = format!("u{index}");
         upstream.instance = Instance { id, started_ms: now };
         upstream.ranges.clear();
+        upstream.seen.clear();
+        upstream.answers.clear();
         upstream.released.clear();
         upstream.sequence = 0;
         upstream.announce_at = now + index as u64 * 37;
     }
 
+    /// Ends the instance of an upstream and starts a new one after `span`
+    /// milliseconds.
+    pub fn restart_upstream_in(&mut self, index: usize, span: u64) {
+        self.kill_upstream(index);
+        self.schedule_after(span, Task::StartUpstream(index));
+    }
+
     /// Publishes a version of the configuration, as the operator does.
     pub fn publish_config(&mut self, version: u64) {
         let key = (ObjectKind::Config, "main".to_owned());
@@ -384,12 +460,10 @@
     pub fn held_ratio(&self) -> f64 {
         let mut keys = BTreeSet::new();
         for upstream in self.upstreams.iter().filter(|u| u.up) {
-            if upstream.granted_until <= self.now {
-                continue;
-            }
-            for range in
-                upstream.ranges.iter().filter(|r| r.busy_until.is_none())
-            {
+            let held = |range: &&HeldRange| {
+                range.until > self.now && range.busy_until.is_none()
+            };
+            for range in upstream.ranges.iter().filter(held) {
                 keys.extend((range.first..=range.last).step_by(64));
             }
         }
@@ -417,7 +491,9 @@
             Task::Grant(index, started_ms, sent, grant) => {
                 self.receive_grant(index, started_ms, sent, &grant);
             }
+            Task::Call(index, info) => self.receive_call(index, &info),
             Task::Start(index) => self.start_node(index),
+            Task::StartUpstream(index) => self.start_upstream(index),
         }
     }
 
@@ -520,10 +596,123 @@
                     Task::Grant(index, started_ms, sent, grant),
                 );
             }
+            Effect::CallUpstream {
+                ticket,
+                call,
+                expires,
+                connect_until,
+                ..
+            } => {
+                self.call_upstream(
+                    index,
+                    ticket,
+                    call,
+                    expires,
+                    connect_until,
+                );
+            }
             _ => {}
         }
     }
 
+    /// Sends a call of a node to its upstream. Each node has one connection
+    /// for calls, which ends with the instance that it leads to.
+    fn call_upstream(
+        &mut self,
+        index: usize,
+        ticket: Ticket,
+        call: UpstreamCall,
+        expires: Millis,
+        connect_until: Millis,
+    ) {
+        self.upstream_calls += 1;
+        let node = &mut self.nodes[index];
+        let upstream = &self.upstreams[index];
+        let process = node.process;
+        let started_ms = upstream.instance.started_ms;
+        let open = upstream.up
+            && (node.connected_to == started_ms
+                || Millis(self.now) < connect_until);
+        if !open {
+            let outcome = CallOutcome::Unsent;
+            let event = Event::CallDone { ticket, outcome };
+            self.schedule_after(1, Task::Event(index, process, event));
+            return;
+        }
+        node.connected_to = started_ms;
+        let faults = self.call_faults;
+        let unanswered =
+            self.random.random_range(0..100) < faults.unanswered_percent;
+        let info = UpstreamCallInfo {
+            process,
+            ticket,
+            call,
+            instance: started_ms,
+            arrived: self.now + 1,
+            answered: !unanswered,
+        };
+        if !unanswered {
+            return self.schedule_after(1, Task::Call(index, info));
+        }
+        let event = Event::CallDone { ticket, outcome: CallOutcome::Unknown };
+        let span = expires.since(Millis(self.now));
+        self.schedule_after(span, Task::Event(index, process, event));
+        if !faults.lost {
+            let span =
+                if faults.late { self.random(MAX_LATE_DELAY_MS) } else { 0 };
+            self.schedule_after(1 + span, Task::Call(index, info));
+        }
+    }
+
+    /// Applies a call at an upstream, unless the instance that received it has
+    /// ended.
+    fn receive_call(&mut self, index: usize, info: &UpstreamCallInfo) {
+        let now = self.now;
+        let work = self.random.random_range(0..400);
+        let upstream = &mut self.upstreams[index];
+        if !upstream.up || upstream.instance.started_ms != info.instance {
+            return;
+        }
+        let (first, last) = info.call.keys();
+        let fence = info.call.fence();
+        let outcome = match &info.call {
+            UpstreamCall::Grant { hold_ms, .. } => {
+                let seen_higher = upstream
+                    .seen
+                    .iter()
+                    .any(|s| s.2 > fence && s.0 <= last && first <= s.1);
+                if seen_higher {
+                    CallOutcome::Rejected
+                } else {
+                    upstream.seen.push((first, last, fence));
+                    let until = info.arrived + hold_ms * 102 / 100;
+                    upstream.hold(first, last, fence, until);
+                    CallOutcome::Done { handover: None }
+                }
+            }
+            UpstreamCall::Release(held) => {
+                let end = upstream.start_release(*held, now + work);
+                if info.answered {
+                    let handover = format!("{index}-{first}-{fence}");
+                    let (process, ticket) = (info.process, info.ticket);
+                    let at = end;
+                    upstream.answers.push(ReleaseAnswer {
+                        at,
+                        process,
+                        ticket,
+                        handover,
+                    });
+                }
+                return;
+            }
+        };
+        if info.answered {
+            let ticket = info.ticket;
+            let event = Event::CallDone { ticket, outcome };
+            self.schedule_after(1, Task::Event(index, info.process, event));
+        }
+    }
+
     fn call(&mut self, index: usize, call: Call, op: Op) {
         self.call_by(index, index, call, op);
     }
@@ -685,17 +874,29 @@
             upstream.ranges.retain(|range| {
                 let ended = range.busy_until.is_some_and(|end| end <= now);
                 if ended {
-                    done.push((range.first, range.last, range.fence));
+                    done.push(*range);
                 }
                 !ended
             });
-            for (first, last, fence) in done {
+            for HeldRange { first, last, fence, .. } in done {
                 let handover = format!("{index}-{first}-{fence}");
-                upstream.released.push(Released { first, last, handover });
+                if self.mode == GrantMode::Heartbeat {
+                    upstream.released.push(Released { first, last, handover });
+                }
             }
-            if upstream.granted_until <= now {
-                upstream.ranges.clear();
+            upstream.ranges.retain(|range| range.until > now);
+            let (ended, waiting) = std::mem::take(&mut upstream.answers)
+                .into_iter()
+                .partition(|answer| answer.at <= now);
+            upstream.answers = waiting;
+            let ended: Vec<ReleaseAnswer> = ended;
+            for answer in ended {
+                let ReleaseAnswer { process, ticket, handover, .. } = answer;
+                let outcome = CallOutcome::Done { handover: Some(handover) };
+                let event = Event::CallDone { ticket, outcome };
+                self.schedule_after(1, Task::Event(index, process, event));
             }
+            let upstream = &mut self.upstreams[index];
             if now >= upstream.announce_at {
                 self.announce(index);
             }
@@ -754,13 +955,15 @@
         upstream.released.clear();
         let Some(ranges) = &grant.ranges else { return };
         let until = sent + grant.hold_ms * 102 / 100;
-        upstream.granted_until = upstream.granted_until.max(until);
+        let known = upstream.ranges.iter().map(|range| range.until);
+        let until = known.fold(until, u64::max);
         let mut granted: Vec<HeldRange> = Vec::new();
         for range in ranges {
             granted.push(HeldRange {
                 first: range.first,
                 last: range.last,
                 fence: range.fence,
+                until,
                 busy_until: None,
             });
         }
@@ -770,6 +973,7 @@
                 upstream.ranges.push(HeldRange {
                     first,
                     last,
+                    until,
                     busy_until,
                     ..old
                 });
@@ -789,11 +993,11 @@
         let now = self.now;
         let mut held: Vec<(u16, u16, usize, u64, u64)> = Vec::new();
         for (index, upstream) in self.upstreams.iter().enumerate() {
-            if !upstream.up || upstream.granted_until <= now {
+            if !upstream.up {
                 continue;
             }
             let started_ms = upstream.instance.started_ms;
-            for range in &upstream.ranges {
+            for range in upstream.ranges.iter().filter(|r| r.until > now) {
                 held.push((
                     range.first,
                     range.last,
@@ -834,6 +1038,50 @@
     }
 }
 
+impl Upstream {
+    /// Holds a range until `until`, instead of until the end of an earlier
+    /// grant.
+    fn hold(&mut self, first: u16, last: u16, fence: u64, until: u64) {
+        let busy_until = None;
+        let range = HeldRange { first, last, fence, until, busy_until };
+        let mut ranges = Vec::new();
+        for old in std::mem::take(&mut self.ranges) {
+            let parts = uncovered(&old, std::slice::from_ref(&range));
+            for (first, last) in parts {
+                ranges.push(HeldRange { first, last, ..old });
+            }
+        }
+        ranges.push(range);
+        self.ranges = ranges;
+    }
+
+    /// Releases a range once its last request has ended, `end` at the latest,
+    /// unless it holds the range under a higher token. Returns when.
+    fn start_release(&mut self, gone: Held, end: u64) -> u64 {
+        let mut ranges = Vec::new();
+        let mut released_at = end;
+        for old in std::mem::take(&mut self.ranges) {
+            let (first, last) =
+                (old.first.max(gone.first), old.last.min(gone.last));
+            if first > last || old.fence > gone.fence {
+                ranges.push(old);
+                continue;
+            }
+            let busy = old.busy_until.unwrap_or(end);
+            released_at = released_at.max(busy);
+            let busy_until = Some(busy);
+            let inside = HeldRange { first, last, busy_until, ..old };
+            let parts = uncovered(&old, std::slice::from_ref(&inside));
+            ranges.push(inside);
+            for (first, last) in parts {
+                ranges.push(HeldRange { first, last, ..old });
+            }
+        }
+        self.ranges = ranges;
+        released_at
+    }
+}
+
 /// Parts of the range `old` that are in none of `ranges`.
 fn uncovered(old: &HeldRange, ranges: &[HeldRange]) -> Vec<(u16, u16)> {
     let mut parts = vec![(u32::from(old.first), u32::from(old.last))];
--- a/crates/core/tests/fleet/upstream.rs
+++ b/crates/core/tests/fleet/upstream.rs
@@ -2,6 +2,7 @@
 
 use lagoondyke_core::clock::Millis;
 use lagoondyke_core::fleet::lease::extend_for_drift;
+use lagoondyke_core::fleet::settings::GrantMode;
 use lagoondyke_core::fleet::table::Instance;
 use lagoondyke_core::fleet::upstream::{
     Announcement, Grant, Granted, Held, LocalUpstream, MAX_GRANT_MS, Phase,
@@ -39,7 +40,7 @@
 /// has released it.
 #[test]
 fn a_released_part_of_a_range_is_free_at_once() {
-    let mut upstream = LocalUpstream::new(Millis(0));
+    let mut upstream = LocalUpstream::new(GrantMode::Heartbeat, Millis(0));
     upstream.apply_announcement(&announcement(1, &[]), Millis(10));
     upstream.record_grant(&grant(&[(0, 999)]), Millis(10));
     upstream.apply_announcement(&announcement(2, &[(0, 999)]), Millis(800));
@@ -54,7 +55,7 @@
 /// requests for it, or while the answer that leaves it out may have been lost.
 #[test]
 fn a_range_is_held_until_it_is_released_or_its_grant_has_expired() {
-    let mut upstream = LocalUpstream::new(Millis(0));
+    let mut upstream = LocalUpstream::new(GrantMode::Heartbeat, Millis(0));
     upstream.apply_announcement(&announcement(1, &[]), Millis(10));
     upstream.record_grant(&grant(&[(0, 99)]), Millis(10));
     upstream.record_grant(&grant(&[]), Millis(20));
@@ -73,14 +74,14 @@
 /// one, which it does not know.
 #[test]
 fn a_new_process_assumes_that_everything_is_held() {
-    let upstream = LocalUpstream::new(Millis(1_000));
+    let upstream = LocalUpstream::new(GrantMode::Heartbeat, Millis(1_000));
     assert!(upstream.may_hold(7, 7, Millis(1_000 + MAX_GRANT_MS)));
     assert!(!upstream.may_hold(
         7,
         7,
         Millis(1_000 + extend_for_drift(MAX_GRANT_MS))
     ));
-    let mut upstream = LocalUpstream::new(Millis(1_000));
+    let mut upstream = LocalUpstream::new(GrantMode::Heartbeat, Millis(1_000));
     upstream
         .apply_announcement(&announcement(5, &[(100, 200)]), Millis(1_100));
     assert!(!upstream.may_hold(7, 7, Millis(1_100)));
@@ -91,7 +92,7 @@
 /// change what is known of the current one.
 #[test]
 fn late_announcements_change_nothing() {
-    let mut upstream = LocalUpstream::new(Millis(0));
+    let mut upstream = LocalUpstream::new(GrantMode::Heartbeat, Millis(0));
     let newer = Announcement { instance: instance(9), ..announcement(1, &[]) };
     assert_eq!(
         upstream.apply_announcement(&newer, Millis(1)),
@@ -114,7 +115,7 @@
 /// for.
 #[test]
 fn a_token_is_used_only_for_the_keys_that_were_released_with_it() {
-    let mut upstream = LocalUpstream::new(Millis(0));
+    let mut upstream = LocalUpstream::new(GrantMode::Heartbeat, Millis(0));
     let mut first = announcement(1, &[]);
     first.released.push(Released {
         first: 10,
--- a/crates/core/tests/fleet_model.rs
+++ b/crates/core/tests/fleet_model.rs
@@ -8,6 +8,11 @@
 //! [`lagoondyke_core::fleet::rules`] and by [`Proposal::apply`], which the
 //! reducer calls too; everything around them is modelled here. Each rule is
 //! also broken on purpose, and the search must then find two owners.
+//!
+//! `A` tells its upstream to hold the range in the answer to an announcement,
+//! or in calls. A call arrives within a step of time or never. Once it has
+//! arrived it may be applied at any later time, twice, after later calls, or
+//! never, and its answer may be lost.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -22,6 +27,9 @@
 /// Longest duration of a grant, in steps of time.
 const GRANT_STEPS: u8 = 2;
 
+/// Time in which a call to the upstream arrives, if it does.
+const CALL_STEPS: u8 = 1;
+
 /// Largest number of messages in flight.
 const MAX_MESSAGE_COUNT: usize = 2;
 
@@ -34,16 +42,47 @@
     crashes: u8,
     /// Updates of the table by `B`.
     updates: u8,
+    /// Grants and releases that `A` sends to its upstream in calls; it answers
+    /// announcements if there are none.
+    calls: u8,
+    /// Restarts of `A`'s upstream.
+    upstream_restarts: u8,
 }
 
+const NONE: Limits = Limits {
+    renewals: 0,
+    proposals: 0,
+    crashes: 0,
+    updates: 0,
+    calls: 0,
+    upstream_restarts: 0,
+};
+
 /// The searches: one in which a lease is lost and acquired again, and one with
-/// a crash.
-const SEARCHES: [Limits; 2] = [
-    Limits { renewals: 2, proposals: 1, crashes: 0, updates: 2 },
-    Limits { renewals: 1, proposals: 2, crashes: 1, updates: 2 },
+/// a crash; and with calls, a hand-over, one after a crash, and a loss of the
+/// lease.
+const SEARCHES: [Limits; 5] = [
+    Limits { renewals: 2, proposals: 1, updates: 2, ..NONE },
+    Limits { renewals: 1, proposals: 2, crashes: 1, updates: 2, ..NONE },
+    Limits {
+        proposals: 1,
+        updates: 1,
+        calls: 4,
+        upstream_restarts: 1,
+        ..NONE
+    },
+    Limits {
+        renewals: 1,
+        proposals: 2,
+        crashes: 1,
+        updates: 2,
+        calls: 1,
+        ..NONE
+    },
+    Limits { renewals: 1, updates: 1, calls: 2, ..NONE },
 ];
 
-/// Number of states at which a search fails. None comes near it.
+/// Number of states at which a search fails. All have fewer.
 const MAX_STATE_COUNT: usize = 4_000_000;
 
 /// A rule that is broken on purpose, to show that the search finds the two
@@ -55,28 +94,36 @@
     CountLeaseFromReceipt,
     ForgetGrantsOfEarlierProcess,
     ForgetMove,
+    ForgetUnansweredCalls,
+    GrantBeyondArrival,
     GrantBeyondLease,
     GrantWithoutClaim,
     GrantWithoutLease,
     HandOverBeforeRelease,
     KeepTermOfLostLease,
+    ReleaseBeforeAnswer,
+    ReleaseEndsUnansweredCalls,
     RevokeWithoutCondition,
     TakeOverDespiteClaim,
     TakeOverBeforeEnd,
     WriteTableWithoutCondition,
 }
 
-const FAULTS: [Fault; 14] = [
+const FAULTS: [Fault; 18] = [
     Fault::ApplyEarlierTerm,
     Fault::CountLateAnswers,
     Fault::CountLeaseFromReceipt,
     Fault::ForgetGrantsOfEarlierProcess,
     Fault::ForgetMove,
+    Fault::ForgetUnansweredCalls,
+    Fault::GrantBeyondArrival,
     Fault::GrantBeyondLease,
     Fault::GrantWithoutClaim,
     Fault::GrantWithoutLease,
     Fault::HandOverBeforeRelease,
     Fault::KeepTermOfLostLease,
+    Fault::ReleaseBeforeAnswer,
+    Fault::ReleaseEndsUnansweredCalls,
     Fault::RevokeWithoutCondition,
     Fault::TakeOverDespiteClaim,
     Fault::TakeOverBeforeEnd,
@@ -116,6 +163,13 @@
     /// `A` proposes its claim and, if there is a `transfer`, to transfer the
     /// range that it owns with this fencing token.
     Propose { term: u8, transfer: Option<u8> },
+    /// `A` grants the range to its upstream. `awaited` is false once it has
+    /// stopped waiting for the answer. It arrives before `expires`.
+    Grant { hold: u8, expires: u8, awaited: bool },
+    /// A grant that has arrived and is applied now or later.
+    Arrived { ends: u8, awaited: bool },
+    /// `A` takes the range back from its upstream.
+    Release { awaited: bool },
     /// `B` updates the table.
     Update { expect: u8, fence: u8, owned: bool, claim: u8 },
 }
@@ -142,6 +196,11 @@
     moving: bool,
     /// Until when its upstream may hold the range, as far as it knows.
     granted_until: u8,
+    /// The same by the call that it awaits, and by those that it no longer
+    /// awaits.
+    call_until: u8,
+    unanswered_until: u8,
+    calls: u8,
     renewals: u8,
     proposals: u8,
 }
@@ -169,6 +228,7 @@
     b: Successor,
     /// Until when the upstreams of `A` and `B` hold the range.
     held_until: [u8; 2],
+    upstream_restarts: u8,
     /// Messages in flight.
     messages: Vec<Message>,
 }
@@ -190,6 +250,9 @@
                 view: table,
                 moving: false,
                 granted_until: 0,
+                call_until: 0,
+                unanswered_until: 0,
+                calls: 0,
                 renewals: 0,
                 proposals: 0,
             },
@@ -200,6 +263,7 @@
                 updates: 0,
             },
             held_until: [0, 0],
+            upstream_restarts: 0,
             messages: Vec::new(),
         }
     }
@@ -209,6 +273,8 @@
             && self.a.renewals <= limits.renewals
             && self.a.proposals <= limits.proposals
             && self.a.process <= limits.crashes
+            && self.a.calls <= limits.calls
+            && self.upstream_restarts <= limits.upstream_restarts
             && self.b.updates <= limits.updates
     }
 
@@ -232,6 +298,8 @@
     fn change_times(&mut self, mut change: impl FnMut(&mut u8)) {
         change(&mut self.a.lease_until);
         change(&mut self.a.granted_until);
+        change(&mut self.a.call_until);
+        change(&mut self.a.unanswered_until);
         self.held_until.iter_mut().for_each(&mut change);
         self.b.peer_lease.iter_mut().for_each(|lease| change(&mut lease.1));
         self.b.revocation.iter_mut().for_each(|ended| change(&mut ended.0));
@@ -239,7 +307,9 @@
             match message {
                 Message::Renew { ends, .. }
                 | Message::Answer { ends, .. }
-                | Message::Revoke { ends, .. } => change(ends),
+                | Message::Revoke { ends, .. }
+                | Message::Arrived { ends, .. } => change(ends),
+                Message::Grant { expires, .. } => change(expires),
                 _ => {}
             }
         }
@@ -268,6 +338,7 @@
                     change(expect);
                     change(claim);
                 }
+                _ => {}
             }
         }
     }
@@ -306,7 +377,13 @@
         step(&|s| s.read_record());
         step(&|s| s.read_table(true));
         step(&|s| s.read_table(false));
-        step(&|s| s.grant_at_a(fault));
+        if limits.calls == 0 {
+            step(&|s| s.grant_at_a(fault));
+        } else {
+            step(&|s| s.call_upstream(fault));
+            step(&|s| s.abandon_call(fault));
+            step(&|s| s.restart_upstream());
+        }
         step(&|s| {
             s.a.moving |= s.a.view.owned;
             true
@@ -331,6 +408,14 @@
                     true
                 });
             }
+            // A call may be applied once more.
+            step(&|s| {
+                let Message::Arrived { ends, .. } = s.messages[index] else {
+                    return false;
+                };
+                s.held_until[0] = ends;
+                true
+            });
         }
         all
     }
@@ -408,6 +493,63 @@
         true
     }
 
+    /// `A` grants the range to its upstream in a call, or takes it back.
+    fn call_upstream(&mut self, fault: Option<Fault>) -> bool {
+        let Owner { term, lease_until, view, .. } = self.a;
+        let left = lease_until.saturating_sub(self.now);
+        let claim = Some(u64::from(view.claim));
+        if !may_grant(claim, term.into(), left.into()) || !view.owned {
+            return false;
+        }
+        // It awaits the answer to a grant that may have an effect.
+        let busy = self.a.call_until > self.now;
+        self.a.calls += 1;
+        if self.a.moving {
+            if busy && fault != Some(Fault::ReleaseBeforeAnswer) {
+                return false;
+            }
+            self.send(Message::Release { awaited: true });
+            return true;
+        }
+        let late = fault == Some(Fault::GrantBeyondArrival);
+        let arrival = if late { 0 } else { CALL_STEPS };
+        let hold = left.saturating_sub(arrival).min(GRANT_STEPS);
+        if busy || hold == 0 {
+            return false;
+        }
+        let expires = self.now + CALL_STEPS + 1;
+        self.a.call_until = self.now + CALL_STEPS + hold;
+        self.send(Message::Grant { hold, expires, awaited: true });
+        true
+    }
+
+    /// `A` stops waiting for the answer to its call, which may still be
+    /// applied.
+    fn abandon_call(&mut self, fault: Option<Fault>) -> bool {
+        for message in &mut self.messages {
+            match message {
+                Message::Grant { awaited, .. }
+                | Message::Arrived { awaited, .. }
+                | Message::Release { awaited } => *awaited = false,
+                _ => {}
+            }
+        }
+        let until = std::mem::take(&mut self.a.call_until);
+        if fault != Some(Fault::ForgetUnansweredCalls) {
+            self.a.unanswered_until = self.a.unanswered_until.max(until);
+        }
+        true
+    }
+
+    /// `A`'s upstream restarts. Calls that have not arrived may reach the new
+    /// instance.
+    fn restart_upstream(&mut self) -> bool {
+        self.upstream_restarts += 1;
+        self.held_until[0] = 0;
+        self.messages.retain(|m| !matches!(m, Message::Arrived { .. }));
+        true
+    }
+
     /// `A` proposes its claim, or to transfer the range once it is released.
     fn propose(&mut self, fault: Option<Fault>) -> bool {
         let Owner { term, lease_until, view, moving, granted_until, .. } =
@@ -418,7 +560,8 @@
         let claim = Some(u64::from(view.claim));
         let claimed = may_grant(claim, term.into(), 1);
         let early = fault == Some(Fault::HandOverBeforeRelease);
-        let free = granted_until <= self.now || early;
+        let called = self.a.call_until.max(self.a.unanswered_until);
+        let free = granted_until.max(called) <= self.now || early;
         let transfers = claimed && moving && view.owned && free;
         if claimed && !transfers {
             return false;
@@ -440,8 +583,22 @@
             view: self.table,
             moving: false,
             granted_until: if forgets { 0 } else { self.now + GRANT_STEPS },
+            call_until: 0,
+            unanswered_until: if forgets {
+                0
+            } else {
+                self.now + CALL_STEPS + GRANT_STEPS
+            },
             ..self.a
         };
+        for message in &mut self.messages {
+            match message {
+                Message::Grant { awaited, .. }
+                | Message::Arrived { awaited, .. }
+                | Message::Release { awaited } => *awaited = false,
+                _ => {}
+            }
+        }
         true
     }
 
@@ -553,6 +710,32 @@
                     self.b.revocation = Some((ends, revision));
                 }
             }
+            Message::Grant { hold, expires, awaited } => {
+                // Neither answered nor applied yet; or lost.
+                if answered && self.now < expires {
+                    let ends = self.now + hold;
+                    self.send(Message::Arrived { ends, awaited });
+                }
+            }
+            Message::Arrived { ends, awaited } => {
+                self.held_until[0] = ends;
+                if answered && awaited {
+                    let until = std::mem::take(&mut self.a.call_until);
+                    self.a.granted_until = self.a.granted_until.max(until);
+                }
+            }
+            Message::Release { awaited } => {
+                self.held_until[0] = 0;
+                if answered && awaited {
+                    self.a.granted_until = 0;
+                    if fault == Some(Fault::ReleaseEndsUnansweredCalls) {
+                        self.a.unanswered_until = 0;
+                    }
+                    if fault == Some(Fault::ReleaseBeforeAnswer) {
+                        self.a.call_until = 0;
+                    }
+                }
+            }
             Message::Propose { term, transfer } => {
                 self.apply_proposal(term, transfer, fault);
             }
--- a/crates/node/src/fleet/metrics.rs
+++ b/crates/node/src/fleet/metrics.rs
@@ -4,7 +4,8 @@
 use std::time::Instant;
 
 use lagoondyke_core::fleet::effect::Op;
-use lagoondyke_core::fleet::event::Outcome;
+use lagoondyke_core::fleet::event::{CallOutcome, Outcome};
+use lagoondyke_core::fleet::grant_calls::UpstreamCall;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{
     BuildError, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
@@ -78,6 +79,26 @@
         });
     }
 
+    /// Counts a call to the upstream about the keys that it holds.
+    pub fn key_call_ended(&self, call: &UpstreamCall, outcome: &CallOutcome) {
+        let (kind, end) = (call.name(), outcome.name());
+        metrics::with_local_recorder(&self.recorder, || {
+            counter!("lagoondyke_key_calls_total", "kind" => kind,
+                "end" => end)
+            .increment(1);
+        });
+    }
+
+    /// Sets the number of calls to the upstream about its keys that have not
+    /// ended, and the age of the oldest.
+    pub fn set_key_calls(&self, count: usize, oldest_ms: u64) {
+        let seconds = oldest_ms as f64 / 1_000.0;
+        metrics::with_local_recorder(&self.recorder, || {
+            gauge!("lagoondyke_key_calls_outstanding").set(count as f64);
+            gauge!("lagoondyke_key_call_oldest_seconds").set(seconds);
+        });
+    }
+
     /// Counts a call to the store.
     pub fn store_call(&self, op: &Op) {
         let kind = match op {
--- a/crates/node/src/fleet/notice_log.rs
+++ b/crates/node/src/fleet/notice_log.rs
@@ -128,6 +128,15 @@
                         "heard" => heard);
                 }
             }
+            Notice::CallFailed { call, outcome, age_ms } => {
+                if self.take_token() {
+                    let (first, last) = call.keys();
+                    slog::warn!(log, "call to the upstream not confirmed";
+                        "call" => call.name(), "first" => first,
+                        "last" => last, "fence" => call.fence(),
+                        "end" => outcome.name(), "age_ms" => age_ms);
+                }
+            }
             other => self.log_state(other),
         }
     }
--- a/crates/node/src/fleet/pool.rs
+++ b/crates/node/src/fleet/pool.rs
@@ -89,13 +89,21 @@
         addr: SocketAddr,
         max_idle_ms: u64,
     ) -> Result<Exchange, ExchangeError> {
-        let now = clock::since_boot();
-        loop {
-            let Some((mut conn, since)) = self.pop_idle(addr) else { break };
-            if now.since(since) <= max_idle_ms && conn.is_idle().await {
-                return Ok(self.new_exchange(conn, addr, false));
-            }
+        match self.reuse(addr, max_idle_ms).await {
+            Some(exchange) => Ok(exchange),
+            None => self.connect(addr).await,
         }
+    }
+
+    /// Starts an exchange over a new connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExchangeError::Unsent`] if no connection can be made.
+    pub async fn connect(
+        &self,
+        addr: SocketAddr,
+    ) -> Result<Exchange, ExchangeError> {
         let connect = TcpStream::connect_addr(addr);
         let Ok(Ok(stream)) = timeout(self.connect_timeout, connect).await
         else {
@@ -108,6 +116,22 @@
         Ok(self.new_exchange(conn, addr, true))
     }
 
+    /// Starts an exchange over a connection that has been idle for at most
+    /// `max_idle_ms`; `None` if there is none.
+    pub async fn reuse(
+        &self,
+        addr: SocketAddr,
+        max_idle_ms: u64,
+    ) -> Option<Exchange> {
+        let now = clock::since_boot();
+        while let Some((mut conn, since)) = self.pop_idle(addr) {
+            if now.since(since) <= max_idle_ms && conn.is_idle().await {
+                return Some(self.new_exchange(conn, addr, false));
+            }
+        }
+        None
+    }
+
     fn pop_idle(&self, addr: SocketAddr) -> Option<(Conn, Millis)> {
         self.idle.borrow_mut().get_mut(&addr)?.pop()
     }
--- a/crates/node/src/fleet/ports.rs
+++ b/crates/node/src/fleet/ports.rs
@@ -3,7 +3,8 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, StatusCode};
 use lagoondyke_core::fleet::effect::Op;
-use lagoondyke_core::fleet::event::{Condition, StoreOutcome};
+use lagoondyke_core::fleet::event::{CallOutcome, Condition, StoreOutcome};
+use lagoondyke_core::fleet::grant_calls::UpstreamCall;
 use lagoondyke_core::fleet::upstream::{Announcement, Grant};
 use lagoondyke_core::verdict::Refusal;
 
@@ -110,4 +111,20 @@
 
     /// Encodes the body of the answer to an announcement.
     fn encode_grant(&self, grant: &Grant) -> Bytes;
+
+    /// Appends the head of a call to the upstream with this name, without its
+    /// length and the empty line, and returns the body. The method is POST.
+    fn put_call(
+        &self,
+        out: &mut BytesMut,
+        upstream: &str,
+        call: &UpstreamCall,
+    ) -> Bytes;
+
+    /// Decodes the answer to a call to the upstream.
+    fn call_outcome(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> CallOutcome;
 }
--- a/crates/node/src/fleet/shell.rs
+++ b/crates/node/src/fleet/shell.rs
@@ -27,7 +27,7 @@
 use crate::fleet::notice_log::NoticeLog;
 use crate::fleet::peers::PeerClient;
 use crate::fleet::ports::{Dialect, Store};
-use crate::fleet::upstream::{Dispatch, UpstreamClient};
+use crate::fleet::upstream::{Dispatch, KeyCall, UpstreamClient};
 
 /// The adapters that connect a shell to the platform.
 pub struct Ports {
@@ -218,6 +218,8 @@
     pub fn render_metrics(&self) -> String {
         let fleet = self.inner.fleet.borrow();
         self.inner.metrics.set_outstanding(fleet.outstanding());
+        let (calls, oldest_ms) = fleet.pending_calls(clock::since_boot());
+        self.inner.metrics.set_key_calls(calls, oldest_ms);
         let version = fleet.config().map_or(0, |config| config.version);
         self.inner.metrics.set_config(version, fleet.config_revision());
         self.inner.metrics.render()
@@ -335,6 +337,16 @@
                 // The upstream may have disconnected in the meantime.
                 let _ = sender.map(|sender| sender.send(grant));
             }
+            Effect::CallUpstream {
+                ticket,
+                upstream,
+                call,
+                expires,
+                connect_until,
+            } => {
+                let call = KeyCall { upstream, call, expires, connect_until };
+                self.call_upstream(ticket, call);
+            }
             Effect::Forward { ticket, to, order } => {
                 self.forward(ticket, to, order);
             }
@@ -369,6 +381,15 @@
         }
     }
 
+    fn call_upstream(&self, ticket: Ticket, call: KeyCall) {
+        let shell = self.clone();
+        monoio::spawn(async move {
+            let outcome = shell.inner.upstream.call(&call).await;
+            shell.inner.metrics.key_call_ended(&call.call, &outcome);
+            shell.post(Event::CallDone { ticket, outcome });
+        });
+    }
+
     fn call_store(&self, call: StoreCall, op: Op) {
         self.inner.metrics.store_call(&op);
         let answer = self.inner.ports.store.call(op);
--- a/crates/node/src/fleet/upstream.rs
+++ b/crates/node/src/fleet/upstream.rs
@@ -4,12 +4,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{StatusCode, header};
-use lagoondyke_core::fleet::event::Outcome;
+use http::{Method, StatusCode, header};
+use lagoondyke_core::clock::Millis;
+use lagoondyke_core::fleet::event::{CallOutcome, Outcome};
+use lagoondyke_core::fleet::grant_calls::UpstreamCall;
 use lagoondyke_core::verdict::{Reason, Refusal};
 use monoio::net::TcpStream;
 use monoio::time::timeout;
 
+use crate::clock;
 use crate::fleet::message::{Answer, Call, INTERNAL_PREFIX, Reply};
 use crate::fleet::pool::{Exchange, Pool};
 use crate::fleet::ports::{AnswerMeta, Dialect, DispatchMeta};
@@ -36,11 +39,21 @@
 /// counts as lost.
 const MAX_SKIPPED_ANSWER_COUNT: usize = 3;
 
+/// Longest idle time after which a connection is reused for a call about keys.
+/// Such calls are made about once a second, and may be repeated.
+const MAX_CALL_IDLE_MS: u64 = 4_000;
+
+/// Largest body of the answer to a call about keys.
+const MAX_CALL_ANSWER_BYTES: usize = 64 * 1024;
+
 /// A client of the upstream. Clones share its connections.
 #[derive(Clone)]
 pub struct UpstreamClient {
     addr: SocketAddr,
     pool: Pool,
+    /// Connections for calls about keys. An upstream may answer nothing more
+    /// on a connection for requests.
+    calls: Pool,
     dialect: Rc<dyn Dialect>,
 }
 
@@ -65,6 +78,19 @@
     pub idempotent: bool,
 }
 
+/// A call to the upstream about the keys that it holds.
+#[derive(Clone, Debug)]
+pub struct KeyCall {
+    /// Name of the upstream that is to be called.
+    pub upstream: String,
+    /// The call.
+    pub call: UpstreamCall,
+    /// When the call is given up; it must not arrive later.
+    pub expires: Millis,
+    /// Until when a connection may be opened for it.
+    pub connect_until: Millis,
+}
+
 /// How a request that was sent to the upstream ended.
 #[derive(Debug)]
 pub struct DispatchResult {
@@ -82,7 +108,61 @@
     #[must_use]
     pub fn new(addr: SocketAddr, dialect: Rc<dyn Dialect>) -> Self {
         let pool = Pool::new(CONNECT_TIMEOUT, MAX_ANSWER_BYTES);
-        Self { addr, pool, dialect }
+        let calls = Pool::new(CONNECT_TIMEOUT, MAX_CALL_ANSWER_BYTES);
+        Self { addr, pool, calls, dialect }
+    }
+
+    /// Calls the upstream about the keys that it holds. A call that is given
+    /// up is cancelled by a reset of its connection.
+    pub async fn call(&self, call: &KeyCall) -> CallOutcome {
+        let left_ms = call.expires.since(clock::since_boot());
+        let run = self.try_call(call);
+        match timeout(Duration::from_millis(left_ms), run).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(ExchangeError::Unsent)) => CallOutcome::Unsent,
+            Ok(Err(_)) | Err(_) => CallOutcome::Unknown,
+        }
+    }
+
+    async fn try_call(
+        &self,
+        call: &KeyCall,
+    ) -> Result<CallOutcome, ExchangeError> {
+        loop {
+            let idle = self.calls.reuse(self.addr, MAX_CALL_IDLE_MS).await;
+            let mut exchange = if let Some(exchange) = idle {
+                exchange
+            } else {
+                let left = call.connect_until.since(clock::since_boot());
+                if left == 0 {
+                    return Err(ExchangeError::Unsent);
+                }
+                let connect = self.calls.connect(self.addr);
+                timeout(Duration::from_millis(left), connect)
+                    .await
+                    .map_err(|_| ExchangeError::Unsent)??
+            };
+            // The process may have been suspended since the call was decided
+            // on.
+            if clock::since_boot() >= call.expires {
+                return Err(ExchangeError::Unsent);
+            }
+            let fresh = exchange.fresh;
+            let mut head = bytes::BytesMut::new();
+            let body =
+                self.dialect.put_call(&mut head, &call.upstream, &call.call);
+            let put = |out: &mut bytes::BytesMut| out.extend_from_slice(&head);
+            match exchange.send(&Method::POST, body, put).await {
+                Err(ExchangeError::Unsent) if !fresh => {}
+                Err(error) => return Err(error),
+                Ok(response) => {
+                    let Response { status, headers, .. } = &response;
+                    let outcome = self.dialect.call_outcome(*status, headers);
+                    exchange.finish(response.keep_alive);
+                    return Ok(outcome);
+                }
+            }
+        }
     }
 
     /// Has the upstream run a request. Dropping the future cancels the request
