Wait in a stop until the last answers have arrived and requests are whole

Cause, two faults. A node ended 60 ms after it had handed its last answers to the kernel. What the caller had not received by then was lost as soon as a further byte of it arrived, since the kernel resets a connection whose process has gone. And a connection in a stop was closed as idle while the rest of a request was still arriving: its body had begun 0.45 s or more before.

Ruled out: a longer pause before the end (a slow link needs more), asking the kernel for unacknowledged bytes (a further interface for the same answer).

Change: a node that stops waits until each caller has closed its connection after the last answer, for 1 s at most each, as before within the grace period. A connection on which a request is arriving is not idle.

--- a/crates/lagoondyked/tests/stop.rs
+++ b/crates/lagoondyked/tests/stop.rs
@@ -32,7 +32,7 @@
 #[test]
 fn a_stop_waits_until_a_slow_caller_has_its_answer() {
     block_on(async {
-        let (mut node, callers) = start_node().await;
+        let (mut node, callers) = start_node(40, 1, ANSWER_BYTES).await;
         let mut caller = send_request(callers, "1", "/ui/");
         sleep_ms(500).await;
         node.terminate().expect("signal");
@@ -46,12 +46,72 @@
     });
 }
 
-/// Starts a node of a service without keys, and waits until it serves.
-async fn start_node() -> (Process, SocketAddr) {
+/// Size of an answer that fits into the kernel buffers of a connection.
+const BUFFERED_BYTES: usize = 1024 * 1024;
+
+/// Guards against an answer that is lost although it was written: the node
+/// exits, and bytes of its caller that arrive later reset the connection.
+#[test]
+fn a_stop_waits_until_the_last_answers_have_arrived() {
+    block_on(async {
+        let (mut node, callers) = start_node(41, 500, BUFFERED_BYTES).await;
+        node.terminate().expect("signal");
+        // The last time at which requests are accepted is 2.3 s.
+        sleep_ms(2_000).await;
+        let mut caller = send_request(callers, "1", "/ui/");
+        // The answer is written after 0.5 s, when nothing else is left to do.
+        sleep_ms(750).await;
+        // A pipelined request, which may get no answer.
+        let _ = caller.write_all(b"GET /ui/ HTTP/1.1\r\n");
+        sleep_ms(250).await;
+        let mut answer = Vec::new();
+        let end = caller.read_to_end(&mut answer);
+        let text = String::from_utf8_lossy(&answer);
+        let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+        let whole = "answer to 1".len() + BUFFERED_BYTES;
+        assert_eq!(body.len(), whole, "{end:?}");
+    });
+}
+
+/// Guards against a connection that is closed as idle in a stop while its
+/// request is being received.
+#[test]
+fn a_stop_waits_for_the_rest_of_a_request() {
+    block_on(async {
+        let (mut node, callers) = start_node(42, 1, 0).await;
+        let mut caller = TcpStream::connect(callers).expect("a connection");
+        node.terminate().expect("signal");
+        sleep_ms(1_200).await;
+        let lines = headers("1", "7")
+            .map(|(name, value)| format!("{name}: {value}\r\n"));
+        let head = format!(
+            "POST /ui/ HTTP/1.1\r\ncontent-length: 4\r\n{}\r\nbo",
+            lines.concat()
+        );
+        caller.write_all(head.as_bytes()).expect("the head is sent");
+        sleep_ms(950).await;
+        caller.write_all(b"dy").expect("the rest is sent");
+        // The upstream runs on this thread, which the read blocks.
+        sleep_ms(300).await;
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).expect("an answer");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    });
+}
+
+/// Starts a node of a service without keys on the VM with this index, and
+/// waits until it serves. Its upstream takes `service_ms` for a request and
+/// appends `padding` bytes to each answer.
+async fn start_node(
+    index: usize,
+    service_ms: u64,
+    padding: usize,
+) -> (Process, SocketAddr) {
     let (store, store_addr) = Store::start().expect("store");
     store.put("config", "main", configuration(1));
     let history = Rc::new(History::default());
-    let addresses = Addresses::free(40).expect("addresses");
+    let addresses = Addresses::free(index).expect("addresses");
     let options = Options {
         id: "i-0".to_owned(),
         service: "u".to_owned(),
@@ -60,14 +120,14 @@
         node: addresses.announcements,
         keyed: false,
         direct: false,
-        service_ms: 1,
-        padding_bytes: ANSWER_BYTES,
+        service_ms,
+        padding_bytes: padding,
     };
     Upstream::start(options.clone(), &history).expect("upstream");
     let gossip = free_udp_port(1).expect("a port");
-    let text = addresses.settings(40, gossip, &options, store_addr);
+    let text = addresses.settings(index, gossip, &options, store_addr);
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let file = folder.join("stop.jsonc");
+    let file = folder.join(format!("stop-{index}.jsonc"));
     std::fs::write(&file, text).expect("settings");
     let program = Path::new(env!("CARGO_BIN_EXE_lagoondyked"));
     let args = [Path::new("--fleet"), &file];
--- a/crates/node/src/fleet/server.rs
+++ b/crates/node/src/fleet/server.rs
@@ -16,7 +16,7 @@
 use lagoondyke_core::id::Ticket;
 use lagoondyke_core::verdict::{Reason, Refusal};
 use local_sync::mpsc::unbounded::{self, Rx, Tx};
-use local_sync::oneshot::Receiver;
+use local_sync::oneshot::{self, Receiver};
 use monoio::io::Splitable;
 use monoio::net::tcp::{TcpOwnedReadHalf, TcpOwnedWriteHalf};
 use monoio::net::{TcpListener, TcpStream};
@@ -56,9 +56,9 @@
 /// Time allowed to write a response to its receiver.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Time for which a connection stays open for reading after its last response.
-/// Closing it with unread bytes would send a reset, which could overtake the
-/// response.
+/// Longest time for which a connection stays open for reading after its last
+/// response, unless the peer closes it before. Closing it with unread bytes
+/// would send a reset, which could overtake the response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Idle time after which connections of other nodes are closed.
@@ -107,6 +107,8 @@
     /// Whether the last response is being or has been written, so that no
     /// further request may be accepted.
     closing: Cell<bool>,
+    /// Whether a request has begun to arrive and is not complete.
+    receiving: Cell<bool>,
     /// When the reader first saw that the node is stopping.
     stop_seen: Cell<Option<Millis>>,
 }
@@ -143,16 +145,20 @@
         unanswered: RefCell::default(),
         last_active: Cell::new(clock::since_boot()),
         closing: Cell::new(false),
+        receiving: Cell::new(false),
         stop_seen: Cell::new(None),
     });
     let (queue, responses) = unbounded::channel();
+    let (read_ended, closed) = oneshot::channel();
     let writer =
         Writer { shell: shell.clone(), state: Rc::clone(&state), source };
     monoio::spawn(async move {
-        writer.run(Conn::from_stream(write), responses).await;
+        writer.run(Conn::from_stream(write), responses, closed).await;
     });
     let reader = Reader { shell, state, source, queue };
     reader.run(Conn::from_stream(read)).await;
+    // The writer may have ended before.
+    let _ = read_ended.send(());
 }
 
 struct Reader {
@@ -189,10 +195,13 @@
                 return self.discard_rest(conn).await;
             }
             self.state.last_active.set(clock::since_boot());
+            self.state.receiving.set(true);
             let keep_alive = keeps_alive(head.version, &head.headers);
             // Boxed, so that an idle connection holds no memory for it.
             let request = Box::pin(self.request(head, keep_alive, conn));
-            match request.await {
+            let result = request.await;
+            self.state.receiving.set(false);
+            match result {
                 Ok(true) => {}
                 Ok(false) => return self.discard_rest(conn).await,
                 Err(WireError::Closed) => return,
@@ -376,7 +385,8 @@
     async fn until_idle(&self) {
         loop {
             monoio::time::sleep(IDLE_POLL_INTERVAL).await;
-            if !self.state.unanswered.borrow().is_empty() {
+            let state = &self.state;
+            if !state.unanswered.borrow().is_empty() {
                 continue;
             }
             let now = clock::since_boot();
@@ -386,6 +396,7 @@
                 self.state.stop_seen.set(Some(since));
                 if now.since(since) >= STOP_IDLE_DELAY_MS
                     && idle_time >= STOP_IDLE_DELAY_MS / 4
+                    && !state.receiving.get()
                 {
                     return;
                 }
@@ -437,6 +448,7 @@
         &self,
         mut conn: Conn<TcpOwnedWriteHalf>,
         mut responses: Rx<QueuedResponse>,
+        closed: Receiver<()>,
     ) {
         while let Some(queued) = responses.recv().await {
             let keep_alive = queued.keep_alive;
@@ -468,8 +480,13 @@
             }
         }
         self.state.closing.set(true);
+        // Once the process has ended, bytes that the peer still sends reset the
+        // connection, and what it has not received yet is lost. Its close shows
+        // that it has received everything.
+        let unclosed = self.shell.count_unwritten();
         conn.shut_down().await;
-        monoio::time::sleep(LINGER_TIMEOUT).await;
+        let _ = timeout(LINGER_TIMEOUT, closed).await;
+        drop(unclosed);
     }
 
     fn response(&self, reply: Reply) -> Response {
