Give requests that arrive in a stop no more time than the process has

Cause: a request that arrived in the first 2.3 s of a stop kept its own time limit, 10 s on the large sites, and was passed on with it. At the end of the grace period it was ended with 504 while the upstream was still at work.

Ruled out: refusing what may run only once from the signal on. Callers are sent here for two more seconds, until two probes have failed, and most requests end far sooner than the grace period.

Change: such a request has to end 0.6 s before the end of the grace period, and the upstream is told so; it answers by then, or gives up and says so. What would be left less than its objective is refused at once, as not run and with a time after which to come back. The node of the upstream limits the time of its peers' requests alike.

--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -34,6 +34,10 @@
 /// outstanding are refused, so that the process can exit in time.
 const STOP_MARGIN_MS: u64 = 400;
 
+/// Time before that in which the answers to requests that arrived during the
+/// stop period must have come, so that they arrive at their callers.
+const STOP_ANSWER_MS: u64 = 200;
+
 /// Interval at which ownership is checked without an event. A check compares
 /// the whole table, which has hundreds of ranges, so it does not run on each
 /// tick.
@@ -305,6 +309,16 @@
         self.stopping_since.is_some_and(|at| now.since(at) >= STOP_ACCEPT_MS)
     }
 
+    /// Time in which a request that arrives now must have ended, so that its
+    /// answer arrives before the process ends; `u64::MAX` unless the node is
+    /// stopping.
+    pub(super) fn stop_left_ms(&self, now: Millis) -> u64 {
+        let Some(since) = self.stopping_since else { return u64::MAX };
+        let margin_ms = STOP_MARGIN_MS + STOP_ANSWER_MS;
+        let limit = self.settings.bounds.stop_ms().saturating_sub(margin_ms);
+        limit.saturating_sub(now.since(since))
+    }
+
     /// Updates everything that depends on a table after it has changed.
     pub(super) fn on_table_changed(
         &mut self,
--- a/crates/core/src/fleet/request/ingress.rs
+++ b/crates/core/src/fleet/request/ingress.rs
@@ -32,6 +32,11 @@
 /// Number of nodes that may refuse a request before the caller is refused.
 const MAX_OFFER_COUNT: usize = 4;
 
+fn stopping_refusal() -> Refusal {
+    let detail = "the node is about to stop";
+    refusal_with_retry(Reason::NoOwner, detail, RETRY_AFTER_RANGE_MS.1)
+}
+
 impl Fleet {
     /// Handles a request that arrived.
     pub(in crate::fleet) fn on_request(
@@ -73,12 +78,7 @@
             ));
         };
         if self.is_closing(now) {
-            let detail = "the node is about to stop";
-            return Err(refusal_with_retry(
-                Reason::NoOwner,
-                detail,
-                RETRY_AFTER_RANGE_MS.1,
-            ));
+            return Err(stopping_refusal());
         }
         let route = config.route(&arrival.host, &arrival.path);
         let Some(route) = route else {
@@ -96,6 +96,11 @@
             return Err(Refusal::new(Reason::NoOwner, detail));
         }
         let time = arrival.budget.min(route.timeout_ms + TIMEOUT_GRACE_MS);
+        let stop_left_ms = self.stop_left_ms(now);
+        if stop_left_ms < route.objective_ms {
+            return Err(stopping_refusal());
+        }
+        let time = time.min(stop_left_ms);
         // The objective counts from the caller's first attempt, so a retry has
         // none left.
         let is_retry = self.requests.is_retry(route, arrival.budget);
@@ -145,7 +150,7 @@
             source: Source::Peer,
             id: arrival.id,
             arrived: now,
-            deadline: now.plus(order.budget),
+            deadline: now.plus(order.budget.min(self.stop_left_ms(now))),
             order,
             fingerprint: arrival.fingerprint,
             attempts: 1,
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -597,6 +597,47 @@
     assert_eq!(answers, expected);
 }
 
+/// Guards against a request that is taken late in a stop with more time than
+/// the process has: it is passed on, and cut at the end without an answer.
+#[test]
+fn a_request_in_a_stop_has_no_more_time_than_the_process() {
+    let mut harness = Harness::new();
+    harness.gossip(1, "k");
+    harness.step(Event::Stop);
+    harness.now += 2_000;
+    harness.gossip(1, "k");
+    let out = harness.caller_request_within("/slow/", Some(3), 10_000);
+    let budget = out.iter().find_map(|effect| match effect {
+        Effect::Forward { order, .. } => Some(order.budget),
+        _ => None,
+    });
+    // The grace period has 6 s. Remaining requests are refused 0.4 s before
+    // its end, and an answer takes its time to arrive.
+    let budget = budget.expect("the request is forwarded");
+    assert!(budget <= 6_000 - 2_000 - 400 - 100, "{budget} ms");
+}
+
+/// Guards against a request that is passed on although its answer would come
+/// after the process has ended; it may run only once.
+#[test]
+fn a_request_that_a_stop_leaves_no_time_is_refused_at_once() {
+    let mut short = settings(0);
+    short.bounds.stop_s = Some(1.5);
+    let mut harness = Harness::with(short);
+    harness.gossip(1, "k");
+    harness.step(Event::Stop);
+    harness.now += 900;
+    harness.gossip(1, "k");
+    let out = harness.caller_request_within("/k/", Some(3), 10_000);
+    let refusal = out.iter().find_map(|effect| match effect {
+        Effect::Refuse { refusal, .. } => Some(refusal.clone()),
+        _ => None,
+    });
+    let refusal = refusal.expect("the request is refused");
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    assert!(refusal.retry_after.is_some());
+}
+
 fn dispatched(out: &[Effect]) -> Option<Ticket> {
     dispatched_tickets(out).first().copied()
 }
