Count what the upstream has places for, and what it is silent on

Cause: an upstream that does not answer a request kept its slot taken until the deadline, and a few such requests kept all others waiting. And the node forgot requests whose caller had left, while the upstream may still work on them.

Ruled out: ending whatever takes long (slow requests would run again). Learning from the reported load alone leaves an upstream that answers nothing at all.

Silent idempotent requests are ended and may be sent again.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -26,6 +26,7 @@
 pub mod key_load;
 pub mod lease;
 mod moves;
+pub mod occupancy;
 mod peer_sync;
 pub mod pick;
 pub mod proposal;
--- a/crates/core/src/fleet/event.rs
+++ b/crates/core/src/fleet/event.rs
@@ -313,4 +313,7 @@
     pub rate_limit: Option<f64>,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Number of requests that it runs or has waiting beside the answered one;
+    /// `None` if it does not say.
+    pub inflight: Option<usize>,
 }
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -15,6 +15,7 @@
 use crate::fleet::crash_memory::CrashMemory;
 use crate::fleet::effect::{Effect, Notice};
 use crate::fleet::event::{Order, Source};
+use crate::fleet::occupancy::Occupancy;
 use crate::fleet::queue::Queue;
 use crate::fleet::reducer::Fleet;
 use crate::fleet::warmup::RateWindow;
@@ -120,6 +121,7 @@
     entries: BTreeMap<Ticket, Entry>,
     queue: Queue,
     running: usize,
+    occupancy: Occupancy,
     window: RateWindow,
     mean_ms: f64,
     /// Mean run time over a longer period, in milliseconds, from which the
@@ -144,6 +146,7 @@
             entries: BTreeMap::new(),
             queue: Queue::default(),
             running: 0,
+            occupancy: Occupancy::default(),
             window: RateWindow::default(),
             mean_ms: INITIAL_MEAN_MS,
             slow_mean: INITIAL_MEAN_MS,
@@ -169,20 +172,35 @@
 
     /// Number of requests at the upstream or queued for it.
     pub(super) fn inflight(&self) -> u16 {
-        (self.running + self.queue.len()).min(usize::from(u16::MAX)) as u16
+        let waited_for = self.running - self.occupancy.silent();
+        (waited_for + self.queue.len()).min(usize::from(u16::MAX)) as u16
     }
 
     /// Mean run time of a request at the upstream, in milliseconds. Requests
     /// that have been running for longer count as well, so that a stall shows
-    /// at once.
+    /// at once, but for silent ones.
     pub(super) fn mean(&self, now: Millis) -> f64 {
-        let mut sum = 0.0;
-        for entry in self.entries.values() {
-            let State::Running(since) = entry.state else { continue };
-            sum += now.since(since) as f64;
-        }
-        let running = self.running.max(1) as f64;
-        self.mean_ms.max(sum / running)
+        let mut since: Vec<Millis> = self.sent_times().collect();
+        since.sort_unstable();
+        let counted = since.iter().skip(self.occupancy.silent());
+        let sum: u64 = counted.map(|since| now.since(*since)).sum();
+        let running = self.running - self.occupancy.silent();
+        self.mean_ms.max(sum as f64 / running.max(1) as f64)
+    }
+
+    /// When each request was sent that the upstream has not answered.
+    fn sent_times(&self) -> impl Iterator<Item = Millis> {
+        self.entries.values().filter_map(|entry| match entry.state {
+            State::Running(since) => Some(since),
+            _ => None,
+        })
+    }
+
+    /// Records that the node no longer waits for one of the requests that were
+    /// sent.
+    fn end_run(&mut self) {
+        self.running -= 1;
+        self.occupancy.on_ended(self.running);
     }
 
     /// Mean run time over about the last hundred requests, in milliseconds.
@@ -195,9 +213,11 @@
         self.success_ratio
     }
 
-    /// Resets the success ratio, which was that of an earlier instance.
+    /// Resets the success ratio and the use of slots, which were those of an
+    /// earlier instance.
     pub(super) fn upstream_restarted(&mut self) {
         self.success_ratio = 1.0;
+        self.occupancy = Occupancy::default();
     }
 
     fn record_run(&mut self, since: Millis, good: bool, now: Millis) {
@@ -286,6 +306,7 @@
         for ticket in expired {
             self.expire(ticket, now, out);
         }
+        self.end_silent(now, out);
         for ticket in stranded {
             let detail = "the node of the upstream is lost";
             let refusal = Refusal::new(Reason::ConnectionLost, detail);
@@ -347,7 +368,8 @@
         };
         match entry.state {
             State::Running(_) => {
-                self.requests.running -= 1;
+                self.requests.end_run();
+                self.requests.occupancy.on_abandoned(entry.deadline, now);
                 self.requests.crashes.record_lost(entry.fingerprint, now);
                 out.push(Effect::Abort { ticket });
             }
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -23,6 +23,13 @@
 /// longer meet its objective: later requests that can meet theirs overtake it.
 const LATE_ESTIMATE_RATIO: f64 = 3.0;
 
+/// Time after which a request that the upstream does not work on is ended, as a
+/// multiple of the mean run time.
+const SILENT_MEAN_RATIO: f64 = 3.0;
+
+/// Shortest such time.
+const MIN_SILENT_MS: u64 = 600;
+
 impl Fleet {
     /// Handles a request for this node's upstream.
     pub(super) fn accept_local(
@@ -113,7 +120,7 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        let slots = self.upstream.open_slots();
+        let slots = self.usable_places(now);
         let cold = self.upstream.is_cold(now);
         let limit = self.upstream.rate_limit().copied();
         let mean = self.requests.mean(now);
@@ -167,12 +174,15 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        let slots = self.upstream.open_slots();
+        let slots = self.usable_places(now);
         let cold = self.upstream.is_cold(now);
         let rate = self.warmup_rate();
         let time = self.requests.mean_ms as u64;
-        while self.requests.running < slots && !self.requests.queue.is_empty()
-        {
+        while !self.requests.queue.is_empty() {
+            let probes = self.requests.running >= slots;
+            if probes && !self.may_probe(now) {
+                return;
+            }
             if self.upstream.rate_limit().is_some_and(|l| !l.is_open(now)) {
                 return;
             }
@@ -185,10 +195,75 @@
             let Some(ticket) = self.requests.queue.pop(now, time) else {
                 return;
             };
+            if probes {
+                self.requests.occupancy.on_probe(now);
+            }
             self.dispatch(ticket, now, out);
         }
     }
 
+    /// Number of requests that may be at the upstream at once.
+    fn usable_places(&self, now: Millis) -> usize {
+        let slots = self.upstream.open_slots();
+        self.requests.occupancy.usable(slots, now)
+    }
+
+    /// Whether a request is sent although all slots seem to be in use. An
+    /// upstream has place for as many waiting requests as it has slots.
+    fn may_probe(&self, now: Millis) -> bool {
+        let requests = &self.requests;
+        let Some(oldest) = requests.sent_times().min() else { return false };
+        requests.running < 2 * self.upstream.open_slots()
+            && requests.occupancy.may_probe(oldest, requests.mean_ms, now)
+    }
+
+    /// Ends idempotent requests that the upstream does not work on and will not
+    /// answer: they are sent again if they may be. Others are waited for until
+    /// their deadline, since their callers cannot send them again.
+    pub(in crate::fleet) fn end_silent(
+        &mut self,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let silent = self.requests.occupancy.silent();
+        if silent == 0 {
+            return;
+        }
+        let span = (self.requests.mean_ms * SILENT_MEAN_RATIO) as u64;
+        let span = span.max(MIN_SILENT_MS);
+        let mut ended: Vec<(Millis, Ticket)> = Vec::new();
+        for (&ticket, entry) in &self.requests.entries {
+            if let State::Running(since) = entry.state {
+                ended.push((since, ticket));
+            }
+        }
+        ended.sort_unstable();
+        ended.truncate(silent);
+        for (since, ticket) in ended {
+            let Some(entry) = self.requests.entries.get_mut(&ticket) else {
+                continue;
+            };
+            if now.since(since) < span || !entry.order.idempotent {
+                continue;
+            }
+            entry.state = State::Concluding;
+            let (source, request) = (entry.source, entry.fingerprint);
+            self.requests.end_run();
+            self.requests.crashes.record_lost(request, now);
+            let good = &mut self.requests.success_ratio;
+            *good -= SUCCESS_WEIGHT_RATIO * *good;
+            out.push(Effect::Abort { ticket });
+            let detail = "the upstream does not work on the request";
+            let refusal = Refusal::new(Reason::ConnectionLost, detail);
+            match source {
+                Source::Caller => {
+                    self.conclude_attempt(ticket, Err(refusal), now, out);
+                }
+                Source::Peer => self.refuse(ticket, refusal, now, out),
+            }
+        }
+    }
+
     pub(super) fn dispatch(
         &mut self,
         ticket: Ticket,
@@ -277,7 +352,8 @@
         let (source, request) = (entry.source, entry.fingerprint);
         let key = entry.order.key;
         entry.state = State::Concluding;
-        self.requests.running -= 1;
+        self.requests.end_run();
+        self.record_occupancy(&outcome, now);
         match &outcome.result {
             Ok(status) => {
                 self.requests.record_run(since, *status < 500, now);
@@ -308,6 +384,15 @@
         }
     }
 
+    /// Learns from an answer how many of the requests that were sent the
+    /// upstream has.
+    fn record_occupancy(&mut self, outcome: &Outcome, now: Millis) {
+        let Some(condition) = outcome.condition else { return };
+        let sent: Vec<Millis> = self.requests.sent_times().collect();
+        let reported = condition.inflight;
+        self.requests.occupancy.on_answer(reported, sent, now);
+    }
+
     /// Records a crash of the upstream, whose last announcement arrived at
     /// `since`: the requests that were running, and those that have ended
     /// without an answer since then, are suspects.
