Pause before a call to the upstream is repeated after a reset

Cause: a grant without an answer was repeated as soon as it had ended. That is after 400 ms if the upstream is silent, but at once if it resets the connection, as one with too many connections does: 4,994 calls in 5 s from four nodes, each on a new connection, and as many grants to wait for at a hand-over.

Change: such a call is repeated 100 ms after it was sent at the earliest.

Test: failed before, with the figure above; at most one call each 100 ms now.

--- a/crates/core/src/fleet/grant_calls.rs
+++ b/crates/core/src/fleet/grant_calls.rs
@@ -308,26 +308,29 @@
         match pending.call {
             UpstreamCall::Grant { range, hold_ms } => {
                 let until = pending.until;
-                let pause_ms = match outcome {
+                let due = match outcome {
                     CallOutcome::Done { .. } if current => {
                         let ends = pending.issued.plus(hold_ms);
                         self.upstream.confirm_grant(&range, ends, until);
                         self.on_owners_changed(now, out);
                         self.dispatch_queued(now, out);
-                        0
+                        now
+                    }
+                    // At once after a time-out, but not after a reset.
+                    CallOutcome::Done { .. } | CallOutcome::Unknown => {
+                        pending.issued.plus(RETRY_MS)
                     }
-                    CallOutcome::Done { .. } | CallOutcome::Unknown => 0,
                     CallOutcome::Rejected => {
                         self.upstream.cancel_grant(first, last, until);
-                        REJECTED_RETRY_MS
+                        now.plus(REJECTED_RETRY_MS)
                     }
                     CallOutcome::Unsent => {
                         self.upstream.cancel_grant(first, last, until);
-                        RETRY_MS
+                        now.plus(RETRY_MS)
                     }
                 };
-                if pause_ms > 0 {
-                    self.calls.pause((first, last), now.plus(pause_ms));
+                if due > now {
+                    self.calls.pause((first, last), due);
                 }
             }
             UpstreamCall::Release(held) => match outcome {
--- a/crates/core/tests/fleet/grant_calls.rs
+++ b/crates/core/tests/fleet/grant_calls.rs
@@ -9,8 +9,12 @@
 use crate::support::{CallFaults, Simulation};
 
 /// Calls of which half are not answered and applied up to 6 s later.
-const LATE_CALLS: CallFaults =
-    CallFaults { unanswered_percent: 50, late: true, lost: false };
+const LATE_CALLS: CallFaults = CallFaults {
+    unanswered_percent: 50,
+    late: true,
+    lost: false,
+    reset: false,
+};
 
 /// A fleet whose keys have been divided and granted in calls.
 fn settled(count: usize, seed: u64) -> Simulation {
@@ -126,14 +130,38 @@
     }
 }
 
+/// Guards against calls in quick succession to an upstream that resets each
+/// connection, as one with too many connections does.
+#[test]
+fn calls_that_are_reset_are_not_repeated_at_once() {
+    let mut sim = settled(4, 9);
+    sim.call_faults = CallFaults {
+        unanswered_percent: 100,
+        lost: true,
+        reset: true,
+        ..CallFaults::default()
+    };
+    sim.upstream_calls = 0;
+    sim.run(5_000);
+    // Each node calls at most each 100 ms.
+    assert!(sim.upstream_calls <= 4 * 50, "{} calls", sim.upstream_calls);
+    sim.call_faults = CallFaults::default();
+    sim.run(2_000);
+    assert!(sim.held_ratio() > 0.999, "{} held", sim.held_ratio());
+    assert_no_violation(&sim);
+}
+
 /// Guards against releases that are lost for good: the keys are handed over
 /// when the grant has ended.
 #[test]
 fn a_lost_release_delays_a_hand_over_until_the_grant_ends() {
     let mut sim = settled(4, 3);
     sim.upstreams[2].phase = Phase::Draining;
-    sim.call_faults =
-        CallFaults { unanswered_percent: 100, late: false, lost: true };
+    sim.call_faults = CallFaults {
+        unanswered_percent: 100,
+        lost: true,
+        ..CallFaults::default()
+    };
     sim.run(1_000);
     assert_eq!(sim.range_counts()[2], 1, "it was handed over too early");
     sim.run(MAX_GRANT_MS + MAX_CALL_MS);
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -65,6 +65,8 @@
     pub late: bool,
     /// Calls without an answer are never applied.
     pub lost: bool,
+    /// Calls without an answer end at once, by a reset of their connection.
+    pub reset: bool,
 }
 
 /// Fault of the store's watches.
@@ -655,7 +657,12 @@
             return self.schedule_after(1, Task::Call(index, info));
         }
         let event = Event::CallDone { ticket, outcome: CallOutcome::Unknown };
-        let span = expires.since(Millis(self.now));
+        let span = if faults.reset {
+            node.connected_to = 0;
+            1
+        } else {
+            expires.since(Millis(self.now))
+        };
         self.schedule_after(span, Task::Event(index, process, event));
         if !faults.lost {
             let span =
