--- a/crates/core/src/fleet/grant_calls.rs
+++ b/crates/core/src/fleet/grant_calls.rs
@@ -12,6 +12,7 @@
 //! grants is opened only shortly after an announcement.
 
 use crate::clock::Millis;
+use crate::fleet::balance::subtract;
 use crate::fleet::effect::{Effect, Notice};
 use crate::fleet::event::CallOutcome;
 use crate::fleet::reducer::Fleet;
@@ -284,7 +285,8 @@
         self.upstream.announced_at().plus(CONNECT_WINDOW_MS)
     }
 
-    /// Handles the end of a call to the upstream.
+    /// Handles the end of a call to the upstream. One that was made to an
+    /// earlier instance says nothing about what the present one holds.
     pub(super) fn on_call_done(
         &mut self,
         ticket: Ticket,
@@ -305,13 +307,13 @@
                 age_ms: now.since(pending.issued),
             }));
         }
-        match pending.call {
+        match &pending.call {
             UpstreamCall::Grant { range, hold_ms } => {
+                let ends = pending.issued.plus(*hold_ms);
                 let until = pending.until;
                 let due = match outcome {
                     CallOutcome::Done { .. } if current => {
-                        let ends = pending.issued.plus(hold_ms);
-                        self.upstream.confirm_grant(&range, ends, until);
+                        self.upstream.confirm_grant(range, ends, until);
                         self.on_owners_changed(now, out);
                         self.dispatch_queued(now, out);
                         now
@@ -329,13 +331,11 @@
                         now.plus(RETRY_MS)
                     }
                 };
-                if due > now {
-                    self.calls.pause((first, last), due);
-                }
+                self.calls.pause((first, last), due);
             }
             UpstreamCall::Release(held) => match outcome {
                 CallOutcome::Done { handover } if current => {
-                    self.calls.releases.retain(|other| *other != held);
+                    self.calls.releases.retain(|other| other != held);
                     self.upstream.confirm_release(first, last, handover);
                     self.reconcile(now, out);
                 }
--- a/crates/core/tests/fleet_model.rs
+++ b/crates/core/tests/fleet_model.rs
@@ -523,9 +523,8 @@
         true
     }
 
-    /// `A` stops waiting for the answer to its call, which may still be
-    /// applied.
-    fn abandon_call(&mut self, fault: Option<Fault>) -> bool {
+    /// `A` waits for no answer to a call any more.
+    fn stop_awaiting_calls(&mut self) {
         for message in &mut self.messages {
             match message {
                 Message::Grant { awaited, .. }
@@ -534,6 +533,12 @@
                 _ => {}
             }
         }
+    }
+
+    /// `A` stops waiting for the answer to its call, which may still be
+    /// applied.
+    fn abandon_call(&mut self, fault: Option<Fault>) -> bool {
+        self.stop_awaiting_calls();
         let until = std::mem::take(&mut self.a.call_until);
         if fault != Some(Fault::ForgetUnansweredCalls) {
             self.a.unanswered_until = self.a.unanswered_until.max(until);
@@ -591,14 +596,7 @@
             },
             ..self.a
         };
-        for message in &mut self.messages {
-            match message {
-                Message::Grant { awaited, .. }
-                | Message::Arrived { awaited, .. }
-                | Message::Release { awaited } => *awaited = false,
-                _ => {}
-            }
-        }
+        self.stop_awaiting_calls();
         true
     }
 
