--- a/crates/core/src/fleet/effect.rs
+++ b/crates/core/src/fleet/effect.rs
@@ -312,8 +312,8 @@
         /// Requests per second, rounded down; `None` without a limit.
         rate: Option<u32>,
     },
-    /// A request was running at so many crashes of upstreams that it is refused
-    /// from now on.
+    /// A request was running at so many crashes of upstreams that it is
+    /// refused from now on.
     Harmful {
         /// Fingerprint of the request.
         request: Fingerprint,
--- a/crates/core/src/fleet/event.rs
+++ b/crates/core/src/fleet/event.rs
@@ -146,7 +146,8 @@
     Rejected,
     /// The call was not sent.
     Unsent,
-    /// There was no answer: the call may have taken effect, or may do so later.
+    /// There was no answer: the call may have taken effect, or may do so
+    /// later.
     Unknown,
 }
 
--- a/crates/core/src/fleet/occupancy.rs
+++ b/crates/core/src/fleet/occupancy.rs
@@ -1,12 +1,12 @@
 //! How many of its slots the upstream has left, beside the requests that the
 //! node waits for.
 //!
-//! The two differ in both directions. An upstream may not answer a request that
-//! it has no place for, or drop one: such a request is silent. It occupies no
-//! slot, and a few of them would keep all others from being sent. And an
-//! upstream may still work on requests that nobody waits for: those whose
-//! caller has left, or that an earlier process of the node sent. What it has no
-//! place for, it may never answer.
+//! The two differ in both directions. An upstream may not answer a request
+//! that it has no place for, or drop one: such a request is silent. It
+//! occupies no slot, and a few of them would keep all others from being sent.
+//! And an upstream may still work on requests that nobody waits for: those
+//! whose caller has left, or that an earlier process of the node sent. What it
+//! has no place for, it may never answer.
 //!
 //! An upstream that reports its load with its answers has as many requests as
 //! it says. One that does not is taken to work on an abandoned request until
@@ -29,8 +29,9 @@
 
 use crate::clock::Millis;
 
-/// Time after which a request that was sent shows in the load that the upstream
-/// reports: longer than it takes to arrive there, and the report here.
+/// Time after which a request that was sent shows in the load that the
+/// upstream reports: longer than it takes to arrive there, and the report
+/// here.
 const REPORTED_AFTER_MS: u64 = 150;
 
 /// Time after which a request that was abandoned no longer shows in that load,
@@ -49,8 +50,8 @@
 /// Shortest such time.
 const MIN_PROBE_MS: u64 = 600;
 
-/// The upstream's use of its slots, as far as it differs from the requests that
-/// the node waits for.
+/// The upstream's use of its slots, as far as it differs from the requests
+/// that the node waits for.
 #[derive(Clone, Debug, Default)]
 pub struct Occupancy {
     /// Number of silent requests, as the latest two reports agree.
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -23,8 +23,8 @@
 /// longer meet its objective: later requests that can meet theirs overtake it.
 const LATE_ESTIMATE_RATIO: f64 = 3.0;
 
-/// Time after which a request that the upstream does not work on is ended, as a
-/// multiple of the mean run time.
+/// Time after which a request that the upstream does not work on is ended, as
+/// a multiple of the mean run time.
 const SILENT_MEAN_RATIO: f64 = 3.0;
 
 /// Shortest such time.
@@ -217,9 +217,9 @@
             && requests.occupancy.may_probe(oldest, requests.mean_ms, now)
     }
 
-    /// Ends idempotent requests that the upstream does not work on and will not
-    /// answer: they are sent again if they may be. Others are waited for until
-    /// their deadline, since their callers cannot send them again.
+    /// Ends idempotent requests that the upstream does not work on and will
+    /// not answer: they are sent again if they may be. Others are waited for
+    /// until their deadline, since their callers cannot send them again.
     pub(in crate::fleet) fn end_silent(
         &mut self,
         now: Millis,
--- a/crates/core/src/fleet/upstream.rs
+++ b/crates/core/src/fleet/upstream.rs
@@ -2,8 +2,8 @@
 //!
 //! An upstream announces itself about once a second and is answered with the
 //! key ranges that it is to hold, and for how long, or is told so in calls.
-//! [`LocalUpstream`] tracks which ranges the upstream may hold at any moment: a
-//! granted range counts until the grant has expired or the upstream has
+//! [`LocalUpstream`] tracks which ranges the upstream may hold at any moment:
+//! a granted range counts until the grant has expired or the upstream has
 //! reported its release.
 //!
 //! A call without an answer may be applied late, even after the upstream has
@@ -404,7 +404,8 @@
     }
 
     /// Records that the upstream has answered a call that was sent with
-    /// [`LocalUpstream::begin_grant`], and holds `range` until `ends` at least.
+    /// [`LocalUpstream::begin_grant`], and holds `range` until `ends` at
+    /// least.
     pub fn confirm_grant(
         &mut self,
         range: &Granted,
@@ -620,8 +621,9 @@
     }
 
     /// Applies what the upstream says of itself in an answer to a request that
-    /// was sent at `sent`, unless an earlier instance said it. Only an answer to a request that was sent after the
-    /// limit was last stated can end it: answers may overtake each other.
+    /// was sent at `sent`, unless an earlier instance said it. Only an answer
+    /// to a request that was sent after the limit was last stated can end it:
+    /// answers may overtake each other.
     pub fn apply_condition(
         &mut self,
         condition: Condition,
--- a/crates/core/tests/fleet/grant_calls.rs
+++ b/crates/core/tests/fleet/grant_calls.rs
@@ -1,5 +1,5 @@
-//! Each key has at most one owner where upstreams are told their keys in calls,
-//! which may be lost, unanswered, or applied late.
+//! Each key has at most one owner where upstreams are told their keys in
+//! calls, which may be lost, unanswered, or applied late.
 
 use lagoondyke_core::fleet::lease::LEASE_DURATION_MS;
 use lagoondyke_core::fleet::settings::GrantMode;
--- a/crates/core/tests/fleet/occupancy.rs
+++ b/crates/core/tests/fleet/occupancy.rs
@@ -185,8 +185,8 @@
 }
 
 quickcheck! {
-    /// Guards against a count that exceeds what was sent, from which the number
-    /// of usable slots is derived.
+    /// Guards against a count that exceeds what was sent, from which the
+    /// number of usable slots is derived.
     fn counts_stay_within_what_was_sent(
         reports: Vec<(u8, u8, u8)>,
         slots: u8
--- a/crates/node/src/fleet/server.rs
+++ b/crates/node/src/fleet/server.rs
@@ -480,9 +480,9 @@
             }
         }
         self.state.closing.set(true);
-        // Once the process has ended, bytes that the peer still sends reset the
-        // connection, and what it has not received yet is lost. Its close shows
-        // that it has received everything.
+        // Once the process has ended, bytes that the peer still sends reset
+        // the connection, and what it has not received yet is lost. Its close
+        // shows that it has received everything.
         let unclosed = self.shell.count_unwritten();
         conn.shut_down().await;
         let _ = timeout(LINGER_TIMEOUT, closed).await;
