--- a/crates/core/src/fleet/grant_calls.rs
+++ b/crates/core/src/fleet/grant_calls.rs
@@ -173,12 +173,9 @@
         for held in self.upstream.granted() {
             let kept = wanted.iter().map(|range| (range.first, range.last));
             let whole = (held.first, held.last);
-            let parts = crate::fleet::balance::subtract(&[whole], kept);
-            surplus.extend(parts.into_iter().map(|(first, last)| Held {
-                first,
-                last,
-                ..held
-            }));
+            for (first, last) in subtract(&[whole], kept) {
+                surplus.push(Held { first, last, ..held });
+            }
         }
         for held in surplus {
             self.upstream.drop_holdings(held.first, held.last);
