Remember an upstream that left before its first announcement to a process

It knew no upstream yet and forgot the name. At 25.73 s the upstream, which still served, announced itself; the node took it for a new one and sent requests 2.2 s after the acknowledgement. This is what other operators reported: after a restart, a server that had left was in use again.

Change: the name is kept until the first announcement. An upstream that started again under its name counts its announcements from one and is not leaving.

Test: failed before.

--- a/crates/core/src/fleet/upstream.rs
+++ b/crates/core/src/fleet/upstream.rs
@@ -191,6 +191,9 @@
     /// When the current instance was first known to be leaving, from an
     /// announcement or an answer.
     leaving: Option<Millis>,
+    /// Name of an upstream that reported its exit before this process had an
+    /// announcement of it, and when.
+    left_unknown: Option<(String, Millis)>,
     /// Whether it was leaving before this process first heard of it, so that
     /// the process cannot know since when.
     leaving_at_start: bool,
@@ -226,6 +229,7 @@
             instance_since: now,
             phase: Phase::Ready,
             leaving: None,
+            left_unknown: None,
             leaving_at_start: false,
             slots: 0,
             sequence: 0,
@@ -257,7 +261,7 @@
                 self.instance = Some(announcement.instance.clone());
                 self.instance_since = now;
                 self.phase = Phase::Ready;
-                self.leaving = None;
+                self.leaving = self.left_before(announcement);
                 self.rate_limit = None;
                 self.holdings.clear();
                 self.released.clear();
@@ -368,9 +372,22 @@
             self.down |= self.phase == Phase::Draining;
             self.phase = Phase::Left;
             self.leaving.get_or_insert(now);
+            return;
+        }
+        if self.instance.is_none() {
+            self.left_unknown.get_or_insert((id.to_owned(), now));
         }
     }
 
+    /// When the announcing upstream reported its exit, if it did so before its
+    /// first announcement to this process. One that has started again under its
+    /// name counts its announcements anew.
+    fn left_before(&mut self, announcement: &Announcement) -> Option<Millis> {
+        let (id, at) = self.left_unknown.take()?;
+        let same = announcement.instance.id == id;
+        (same && announcement.sequence > 1).then_some(at)
+    }
+
     /// Records that the upstream refused a connection.
     pub fn set_unreachable(&mut self) {
         self.down = true;
--- a/crates/core/tests/fleet/upstream.rs
+++ b/crates/core/tests/fleet/upstream.rs
@@ -128,3 +128,20 @@
     upstream.record_grant(&grant(&[(15, 15)]), Millis(2));
     assert_eq!(upstream.handover(12, 14), None, "granted again since");
 }
+
+/// Guards against an upstream that is used again after it has left: it reports
+/// its exit to a node that has just restarted, and announces itself once more
+/// while it still serves.
+#[test]
+fn an_upstream_that_left_before_its_first_announcement_is_leaving() {
+    for (sequence, leaves) in [(7, true), (1, false)] {
+        let mut upstream =
+            LocalUpstream::new(GrantMode::Heartbeat, Millis(1_000));
+        upstream.set_left("u", Millis(1_400));
+        let late = announcement(sequence, &[]);
+        upstream.apply_announcement(&late, Millis(3_500));
+        let since = leaves.then_some(Millis(1_400));
+        assert_eq!(upstream.leaving_since(), since, "{sequence}");
+        assert_eq!(upstream.is_ready(), !leaves, "{sequence}");
+    }
+}
