Log which requests count as suspects of a crash

Nobody could see from the logs whether two attempts of a request count as the same one, which requests a crash was attributed to, or why another was not: a crash was logged with the number of its suspects, and a failed request without its fingerprint.

Ruled out: the harmful request's line alone; it comes only at the third crash.

Now each failed request, each suspect, each request that is no suspect since it was answered recently, and each second or later crash names the fingerprint. The lines of crashes are few and not rate-limited; those of requests are.

Tests: a_crash_is_logged_with_its_suspects, the_second_crash_of_a_request_is_logged (new notices, so neither compiled before); 20 tests of crashes pass.

--- a/crates/core/src/fleet/announce.rs
+++ b/crates/core/src/fleet/announce.rs
@@ -28,6 +28,7 @@
         // One that was found down has been recorded as crashed already.
         let was_up = self.upstream.is_up() && !self.upstream.has_left();
         let since = self.upstream.announced_at();
+        let id = self.upstream.instance_id();
         let recency = match ignored {
             Some(_) => Recency::Stale,
             None => self.upstream.apply_announcement(announcement, now),
@@ -43,7 +44,7 @@
         }
         if recency == Recency::NewInstance {
             if was_up {
-                self.record_crash(since, now, out);
+                self.record_crash(id, since, now, out);
             }
             self.requests.upstream_restarted();
             self.calls.on_new_instance();
@@ -78,8 +79,7 @@
         out: &mut Vec<Effect>,
     ) {
         self.gossip_due = now;
-        let id = self.upstream.instance().map(|instance| instance.id.clone());
-        let id = id.unwrap_or_default();
+        let id = self.upstream.instance_id();
         out.push(Effect::Notice(Notice::UpstreamLeaving { id }));
     }
 
@@ -204,7 +204,8 @@
         self.upstream.set_unreachable();
         self.gossip_due = now;
         out.push(Effect::Notice(Notice::UpstreamDown));
-        self.record_crash(self.upstream.announced_at(), now, out);
+        let id = self.upstream.instance_id();
+        self.record_crash(id, self.upstream.announced_at(), now, out);
         self.refuse_queued(now, out);
     }
 }
--- a/crates/core/src/fleet/crash_memory.rs
+++ b/crates/core/src/fleet/crash_memory.rs
@@ -45,6 +45,27 @@
     counted: bool,
 }
 
+/// What follows from a crash here or at another node.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Finding {
+    /// Requests that were running at more crashes than known before, with the
+    /// number, where that is two or more.
+    pub(super) counted: Vec<(Fingerprint, u32)>,
+    /// Requests that are now harmful.
+    pub(super) harmful: Vec<Fingerprint>,
+}
+
+/// A crash of the local upstream.
+#[derive(Clone, Debug)]
+pub(super) struct Crash {
+    /// The requests that may have caused it.
+    pub(super) suspects: Vec<Fingerprint>,
+    /// The requests that are no suspects, since they were answered recently.
+    pub(super) cleared: Vec<Fingerprint>,
+    /// What follows from it.
+    pub(super) finding: Finding,
+}
+
 /// Requests that may have crashed upstreams, here and at other nodes.
 #[derive(Debug)]
 pub(super) struct CrashMemory {
@@ -93,30 +114,41 @@
 
     /// Records a crash of the local upstream while these requests were
     /// running. Requests that have ended without an answer after `since`, when
-    /// the upstream was still up, are suspects as well. Returns the number of
-    /// suspects, and the requests that are now harmful.
+    /// the upstream was still up, are suspects as well.
     pub(super) fn record_crash(
         &mut self,
         running: Vec<Fingerprint>,
         since: Millis,
         now: Millis,
-    ) -> (usize, Vec<Fingerprint>) {
-        let suspects = self.own.record_crash_since(running, since, now);
-        let count = suspects.len();
-        let counted = self.tracker.record(suspects, now);
-        (count, self.add_harmful(counted, true, now))
+    ) -> Crash {
+        let (suspects, cleared) =
+            self.own.record_crash_since(running, since, now);
+        let harmful = self.tracker.record(suspects.clone(), now);
+        let counted = self.counts_of(suspects.iter().copied());
+        let harmful = self.add_harmful(harmful, true, now);
+        let finding = Finding { counted, harmful };
+        Crash { suspects, cleared, finding }
     }
 
-    /// Counts the crashes that a node reports. Returns the requests that are
-    /// now harmful.
+    /// The number of crashes of each of these requests, where it is two or
+    /// more.
+    fn counts_of(
+        &self,
+        requests: impl Iterator<Item = Fingerprint>,
+    ) -> Vec<(Fingerprint, u32)> {
+        let counts = requests.map(|r| (r, self.tracker.count(r)));
+        counts.filter(|&(_, count)| count >= 2).collect()
+    }
+
+    /// Counts the crashes that a node reports.
     pub(super) fn record_report(
         &mut self,
         process: Process,
         suspects: &[Fingerprint],
         now: Millis,
-    ) -> Vec<Fingerprint> {
+    ) -> Finding {
         if suspects.is_empty() && !self.tracker.has_report(&process) {
-            return Vec::new();
+            return Finding::default();
         }
         let mut suspects = suspects.to_vec();
         suspects.retain(|&s| !self.own.answered_recently(s, now));
@@ -127,10 +159,14 @@
             suspects.iter().partition(|&&suspect| {
                 occurrences(suspect) >= CRASH_LIMIT_COUNT as usize
             });
-        let counted = self.tracker.report(process, &counted, now);
-        let mut new = self.add_harmful(counted, true, now);
-        new.extend(self.add_harmful(told, false, now));
-        new
+        let before: BTreeMap<Fingerprint, u32> =
+            counted.iter().map(|&s| (s, self.tracker.count(s))).collect();
+        let reached = self.tracker.report(process, &counted, now);
+        let mut counted = self.counts_of(before.keys().copied());
+        counted.retain(|(request, count)| *count > before[request]);
+        let mut harmful = self.add_harmful(reached, true, now);
+        harmful.extend(self.add_harmful(told, false, now));
+        Finding { counted, harmful }
     }
 
     /// Adds harmful requests and returns those that were not known.
--- a/crates/core/src/fleet/effect.rs
+++ b/crates/core/src/fleet/effect.rs
@@ -295,8 +295,23 @@
     UpstreamDown,
     /// The upstream has crashed.
     UpstreamCrashed {
-        /// Number of requests that may have crashed it.
-        suspects: usize,
+        /// Name of the upstream.
+        id: String,
+        /// The requests that may have crashed it.
+        suspects: Vec<Fingerprint>,
+        /// The requests that are no suspects, since one like them was answered
+        /// recently.
+        cleared: Vec<Fingerprint>,
+    },
+    /// A request was running at more crashes of upstreams than known before,
+    /// and at two or more.
+    CrashesCounted {
+        /// Fingerprint of the request.
+        request: Fingerprint,
+        /// Number of crashes.
+        crashes: u32,
+        /// The node that reported the latest; this node for its own upstream.
+        node: String,
     },
     /// A call to the upstream was not confirmed.
     CallFailed {
@@ -339,6 +354,8 @@
         node: String,
         /// Version of the configuration in force; 0 if there is none.
         config: u64,
+        /// Fingerprint of the request.
+        request: Fingerprint,
     },
     /// New settings came into force.
     Reloaded {
--- a/crates/core/src/fleet/peer_sync.rs
+++ b/crates/core/src/fleet/peer_sync.rs
@@ -8,7 +8,7 @@
 use crate::fleet::gossip::Gossip;
 use crate::fleet::rate_limit::RateLimit;
 use crate::fleet::reducer::Fleet;
-use crate::fleet::request::notify_harmful;
+use crate::fleet::request::log_finding;
 
 /// Time allowed for a watch to deliver a version that gossip has shown, before
 /// it is fetched from a peer.
@@ -112,8 +112,8 @@
             return;
         }
         let crashes = &mut self.requests.crashes;
-        let harmful = crashes.record_report(process, &suspects, now);
-        notify_harmful(harmful, out);
+        let finding = crashes.record_report(process, &suspects, now);
+        log_finding(finding, &node, out);
         self.takeovers.remove(&node);
         for kind in
             [ObjectKind::Config, ObjectKind::Domains, ObjectKind::Tables]
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -12,9 +12,9 @@
 
 use crate::clock::Millis;
 use crate::fleet::config::{Config, Route};
-use crate::fleet::crash_memory::CrashMemory;
+use crate::fleet::crash_memory::{CrashMemory, Finding};
 use crate::fleet::effect::{Effect, Notice};
-use crate::fleet::event::{Order, Source};
+use crate::fleet::event::{Arrival, Order, Source};
 use crate::fleet::occupancy::Occupancy;
 use crate::fleet::queue::Queue;
 use crate::fleet::reducer::Fleet;
@@ -398,6 +398,7 @@
             age_ms,
             node: entry.tried_nodes.last().cloned().unwrap_or_default(),
             config: self.config_version(),
+            request: entry.fingerprint,
         }));
         out.push(Effect::Refuse { ticket, refusal });
     }
@@ -406,22 +407,22 @@
         self.config.as_ref().map_or(0, |config: &Rc<Config>| config.version)
     }
 
+    /// Logs the refusal of a caller's request on its arrival.
     fn log_refusal(
         &self,
-        id: String,
+        arrival: Arrival,
         refusal: &Refusal,
-        decision: &'static str,
-        age_ms: u64,
         out: &mut Vec<Effect>,
     ) {
         out.push(Effect::Notice(Notice::Failed {
-            id,
-            decision,
+            id: arrival.id,
+            decision: "refused",
             service: String::new(),
             refusal: refusal.clone(),
-            age_ms,
+            age_ms: 0,
             node: String::new(),
             config: self.config_version(),
+            request: arrival.fingerprint,
         }));
     }
 }
@@ -437,12 +438,18 @@
     }
 }
 
-/// Logs requests that have become harmful.
-pub(super) fn notify_harmful(
-    requests: Vec<Fingerprint>,
+/// Logs what follows from a crash that `node` has reported.
+pub(super) fn log_finding(
+    finding: Finding,
+    node: &str,
     out: &mut Vec<Effect>,
 ) {
-    for request in requests {
+    for (request, crashes) in finding.counted {
+        let node = node.to_owned();
+        let notice = Notice::CrashesCounted { request, crashes, node };
+        out.push(Effect::Notice(notice));
+    }
+    for request in finding.harmful {
         out.push(Effect::Notice(Notice::Harmful { request }));
     }
 }
--- a/crates/core/src/fleet/request/ingress.rs
+++ b/crates/core/src/fleet/request/ingress.rs
@@ -55,8 +55,7 @@
                     self.place(ticket, now, out);
                 }
                 Err(refusal) => {
-                    let id = arrival.id;
-                    self.log_refusal(id, &refusal, "refused", 0, out);
+                    self.log_refusal(arrival, &refusal, out);
                     out.push(Effect::Refuse { ticket, refusal });
                 }
             },
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -2,10 +2,11 @@
 
 use super::{
     Entry, MIN_TIME_LEFT_RATIO, RETRY_AFTER_DEFAULT_MS, RETRY_AFTER_RANGE_MS,
-    SUCCESS_WEIGHT_RATIO, State, harmful_refusal, notify_harmful,
+    SUCCESS_WEIGHT_RATIO, State, harmful_refusal, log_finding,
     refusal_with_retry,
 };
 use crate::clock::Millis;
+use crate::fleet::crash_memory::Crash;
 use crate::fleet::effect::{Effect, Notice};
 use crate::fleet::event::{Order, Outcome, Source};
 use crate::fleet::queue::QueuedRequest;
@@ -393,11 +394,12 @@
         self.requests.occupancy.on_answer(reported, sent, now);
     }
 
-    /// Records a crash of the upstream, whose last announcement arrived at
-    /// `since`: the requests that were running, and those that have ended
-    /// without an answer since then, are suspects.
+    /// Records a crash of the upstream named `id`, whose last announcement
+    /// arrived at `since`: the requests that were running, and those that have
+    /// ended without an answer since then, are suspects.
     pub(in crate::fleet) fn record_crash(
         &mut self,
+        id: String,
         since: Millis,
         now: Millis,
         out: &mut Vec<Effect>,
@@ -408,10 +410,11 @@
                 running.push(entry.fingerprint);
             }
         }
-        let crashes = &mut self.requests.crashes;
-        let (suspects, harmful) = crashes.record_crash(running, since, now);
-        out.push(Effect::Notice(Notice::UpstreamCrashed { suspects }));
-        notify_harmful(harmful, out);
+        let crash = self.requests.crashes.record_crash(running, since, now);
+        let Crash { suspects, cleared, finding } = crash;
+        let notice = Notice::UpstreamCrashed { id, suspects, cleared };
+        out.push(Effect::Notice(notice));
+        log_finding(finding, &self.settings.node, out);
     }
 
     /// Removes all queued requests if the upstream no longer accepts work:
--- a/crates/core/src/fleet/upstream.rs
+++ b/crates/core/src/fleet/upstream.rs
@@ -575,6 +575,12 @@
         self.instance.as_ref()
     }
 
+    /// Name of the current instance; empty if there is none.
+    #[must_use]
+    pub fn instance_id(&self) -> String {
+        self.instance.as_ref().map(|i| i.id.clone()).unwrap_or_default()
+    }
+
     /// Whether the upstream is up and accepts new work.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/core/src/request/poison.rs
+++ b/crates/core/src/request/poison.rs
@@ -108,17 +108,18 @@
         now: Millis,
     ) -> Vec<Fingerprint> {
         let since = Millis(now.0.saturating_sub(LOST_WINDOW_MS));
-        self.record_crash_since(in_flight, since, now)
+        self.record_crash_since(in_flight, since, now).0
     }
 
     /// Like [`Suspects::record_crash`], but attributes to the crash all
-    /// connections that were lost at `since` or later.
+    /// connections that were lost at `since` or later. Returns the requests
+    /// that are no suspects as well, since they were answered recently.
     pub fn record_crash_since(
         &mut self,
         in_flight: impl IntoIterator<Item = Fingerprint>,
         since: Millis,
         now: Millis,
-    ) -> Vec<Fingerprint> {
+    ) -> (Vec<Fingerprint>, Vec<Fingerprint>) {
         let lost = std::mem::take(&mut self.lost);
         let lost = lost.into_iter().filter(|lost| lost.1 >= since);
         let lost = lost.map(|lost| lost.0);
@@ -126,11 +127,13 @@
         all.extend(lost);
         all.sort();
         all.dedup();
-        all.retain(|&request| !self.answered_recently(request, now));
-        self.crashes.extend(all.iter().map(|&request| (request, now)));
+        let (cleared, suspects): (Vec<_>, Vec<_>) = all
+            .into_iter()
+            .partition(|&request| self.answered_recently(request, now));
+        self.crashes.extend(suspects.iter().map(|&request| (request, now)));
         let excess = self.crashes.len().saturating_sub(MAX_SUSPECT_COUNT);
         self.crashes.drain(..excess);
-        all
+        (suspects, cleared)
     }
 
     /// The suspects of recent crashes, the latest first; a request occurs once
--- a/crates/core/src/request/poison_tracker.rs
+++ b/crates/core/src/request/poison_tracker.rs
@@ -87,6 +87,11 @@
         self.update_refused(now)
     }
 
+    /// Number of crashes at which a request was running.
+    pub(crate) fn count(&self, request: Fingerprint) -> u32 {
+        self.crashes.get(&request).map_or(0, |crashes| crashes.0)
+    }
+
     /// Forgets the crashes at which a request was running.
     pub(crate) fn forget(&mut self, request: Fingerprint) {
         self.crashes.remove(&request);
--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -1,7 +1,7 @@
 //! Requests that crash upstreams are recognized wherever they return, and are
 //! sent to no further upstream.
 
-use lagoondyke_core::fleet::effect::{Effect, Op};
+use lagoondyke_core::fleet::effect::{Effect, Notice, Op};
 use lagoondyke_core::fleet::event::{
     Call, Event, Item, Outcome, StoreOutcome,
 };
@@ -321,3 +321,43 @@
     let refused = refusal(&out).expect("it is not repeated");
     assert_eq!(refused.verdict, Verdict::MayHaveRun);
 }
+
+/// Guards against a crash whose log lines do not say which requests count as
+/// its suspects, and why another one does not.
+#[test]
+fn a_crash_is_logged_with_its_suspects() {
+    let mut harness = running_it();
+    harness.fingerprint = Some(Fingerprint(1));
+    harness.peer_request(0, 5_000);
+    harness.upstream_done(2, Ok(200));
+    harness.peer_request(0, 5_000);
+    let out = harness.step(Event::UpstreamDown);
+    let crash = out.into_iter().find_map(|effect| match effect {
+        Effect::Notice(Notice::UpstreamCrashed { id, suspects, cleared }) => {
+            Some((id, suspects, cleared))
+        }
+        _ => None,
+    });
+    let expected = ("u0".to_owned(), vec![HARMFUL], vec![Fingerprint(1)]);
+    assert_eq!(crash, Some(expected));
+}
+
+/// Guards against a second crash that leaves no line at the nodes that are
+/// told of it.
+#[test]
+fn the_second_crash_of_a_request_is_logged() {
+    let mut harness = Harness::new();
+    let crashes = |out: Vec<Effect>| {
+        out.into_iter().find_map(|effect| match effect {
+            Effect::Notice(Notice::CrashesCounted {
+                request,
+                crashes,
+                node,
+            }) => Some((request, crashes, node)),
+            _ => None,
+        })
+    };
+    assert_eq!(crashes(harness.gossip_with(1, "k", &[HARMFUL])), None);
+    let second = crashes(harness.gossip_with(2, "k", &[HARMFUL]));
+    assert_eq!(second, Some((HARMFUL, 2, "n2".to_owned())));
+}
--- a/crates/node/src/fleet/notice_log.rs
+++ b/crates/node/src/fleet/notice_log.rs
@@ -9,6 +9,7 @@
 
 use lagoondyke_core::clock::Millis;
 use lagoondyke_core::fleet::effect::Notice;
+use lagoondyke_core::id::Fingerprint;
 use lagoondyke_core::verdict::Verdict;
 use slog::Logger;
 
@@ -96,10 +97,12 @@
                 age_ms,
                 node,
                 config,
+                request,
             } => {
                 if self.take_token() {
                     slog::info!(log, "request failed";
-                        "id" => id, "decision" => decision,
+                        "id" => id, "fingerprint" => hex(*request),
+                        "decision" => decision,
                         "reason" => refusal.reason.name(),
                         "may_have_run" => refusal.verdict
                             == Verdict::MayHaveRun,
@@ -193,9 +196,15 @@
             Notice::UpstreamDown => {
                 slog::warn!(log, "upstream refuses connections");
             }
-            Notice::UpstreamCrashed { suspects } => {
-                slog::warn!(log, "upstream has crashed";
-                    "suspects" => suspects);
+            Notice::UpstreamCrashed { id, suspects, cleared } => {
+                slog::warn!(log, "upstream has crashed"; "id" => id,
+                    "suspects" => hex_list(suspects),
+                    "answered_recently" => hex_list(cleared));
+            }
+            Notice::CrashesCounted { request, crashes, node } => {
+                slog::warn!(log, "request was running at several crashes";
+                    "fingerprint" => hex(*request), "crashes" => crashes,
+                    "reported_by" => node);
             }
             Notice::Limited { rate: Some(rate) } => {
                 slog::warn!(log, "upstream limits its rate of requests";
@@ -206,7 +215,7 @@
             }
             Notice::Harmful { request } => {
                 slog::warn!(log, "request crashes upstreams";
-                    "fingerprint" => format!("{:016x}", request.0));
+                    "fingerprint" => hex(*request));
             }
             Notice::Store { up: true } => {
                 slog::info!(log, "store answers again");
@@ -222,3 +231,14 @@
         }
     }
 }
+
+/// A fingerprint as all log lines show it.
+fn hex(fingerprint: Fingerprint) -> String {
+    format!("{:016x}", fingerprint.0)
+}
+
+/// Fingerprints with spaces between them.
+fn hex_list(fingerprints: &[Fingerprint]) -> String {
+    let all: Vec<String> = fingerprints.iter().copied().map(hex).collect();
+    all.join(" ")
+}
