--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -361,3 +361,119 @@
     let second = crashes(harness.gossip_with(2, "k", &[HARMFUL]));
     assert_eq!(second, Some((HARMFUL, 2, "n2".to_owned())));
 }
+
+/// Time between the report of a crash and one that no longer is about it.
+const MISSED_REPORTS_MS: u64 = REPORTS_OVER_MS - GOSSIP_INTERVAL_MS;
+
+/// Time after which an upstream that has crashed is back.
+const RESTART_MS: u64 = 3_000;
+
+/// The node's upstream runs the request again as a new instance, and crashes.
+fn crash_again(harness: &mut Harness, started_ms: u64) {
+    harness.now += RESTART_MS;
+    harness.announce_instance("u0", started_ms);
+    assert_eq!(dispatches(&harness.peer_request(0, 5_000)), 1);
+    harness.step(Event::UpstreamDown);
+    harness.upstream_done(harness.next_ticket - 1, refused(LOST));
+}
+
+/// How a request ends whose upstream crashes.
+const LOST: Reason = Reason::ConnectionLost;
+
+/// Guards against a crash without suspects: an announcement that the upstream
+/// sent before it crashed is handled after the connection was lost.
+#[test]
+fn a_late_announcement_does_not_hide_a_crash() {
+    let mut harness = running_it();
+    harness.upstream_done(1, refused(LOST));
+    harness.now += 100;
+    harness.announce(Phase::Ready, 4);
+    harness.now += 50;
+    harness.step(Event::UpstreamDown);
+    assert_eq!(reported_suspects(&mut harness), [HARMFUL]);
+}
+
+/// Guards against two crashes at one node that count as one: the first is no
+/// longer reported when the second is.
+#[test]
+fn a_second_crash_at_a_node_is_not_taken_for_the_first() {
+    let mut peer = Harness::new();
+    peer.gossip(1, "k");
+    peer.fingerprint = Some(HARMFUL);
+    let mut harness = Harness::new();
+    harness.fingerprint = Some(HARMFUL);
+    harness.gossip_with(2, "k", &[HARMFUL]);
+    for crash in 1..=2 {
+        assert_eq!(refusal_reason(&mut harness), None, "before {crash}");
+        crash_again(&mut peer, crash);
+        let told = reported_suspects(&mut peer);
+        harness.gossip_with(3, "k", &told);
+        peer.now += MISSED_REPORTS_MS;
+        harness.now = peer.now;
+    }
+    assert_eq!(refusal_reason(&mut harness), Some(Reason::Poisoned));
+}
+
+/// Guards against a crash that a node never learns of, since it was cut off
+/// while its peers reported the crash.
+#[test]
+fn a_node_that_was_cut_off_learns_of_a_crash() {
+    let mut peer = running_it();
+    peer.step(Event::UpstreamDown);
+    peer.now += REPORTS_OVER_MS;
+    let mut told = Vec::new();
+    for _ in 0..10 {
+        told.extend(reported_suspects(&mut peer));
+    }
+    assert!(told.contains(&HARMFUL));
+}
+
+/// Guards against a repeated crash that is not reported, since the suspects of
+/// others have displaced the first one.
+#[test]
+fn many_suspects_do_not_displace_a_request_that_crashed_before() {
+    let mut harness = Harness::new();
+    harness.gossip(1, "k");
+    harness.fingerprint = Some(HARMFUL);
+    crash_again(&mut harness, 1);
+    for started_ms in 2..60 {
+        harness.fingerprint = Some(Fingerprint(1_000 + started_ms));
+        crash_again(&mut harness, started_ms);
+    }
+    harness.fingerprint = Some(HARMFUL);
+    crash_again(&mut harness, 60);
+    let told = reported_suspects(&mut harness);
+    assert_eq!(told.iter().filter(|&&t| t == HARMFUL).count(), 2);
+}
+
+/// Guards against a request that counts as running at two crashes, when the
+/// same instance refused connections twice.
+#[test]
+fn an_instance_that_refuses_connections_twice_has_crashed_once() {
+    let mut harness = running_it();
+    harness.step(Event::UpstreamDown);
+    harness.upstream_done(1, refused(LOST));
+    harness.announce(Phase::Ready, 4);
+    assert_eq!(dispatches(&harness.peer_request(0, 5_000)), 1);
+    harness.step(Event::UpstreamDown);
+    assert_eq!(reported_suspects(&mut harness), [HARMFUL]);
+}
+
+/// Guards against a harmful request that is sent on since it was waiting for
+/// an owner of its key when it became known as harmful.
+#[test]
+fn a_waiting_request_that_turns_out_to_be_harmful_is_not_sent() {
+    let mut harness = Harness::new();
+    harness.fingerprint = Some(HARMFUL);
+    let out = harness.caller_request("/k/", Some(3));
+    assert_eq!(forwards(&out), []);
+    for index in 2..=4 {
+        harness.gossip_with(index, "s", &[HARMFUL]);
+    }
+    harness.gossip(1, "k");
+    harness.now += 300;
+    let out = harness.step(Event::Tick);
+    assert_eq!(forwards(&out), []);
+    let refused = refusal(&out).expect("the request crashes upstreams");
+    assert_eq!((refused.reason, refused.verdict), POISONED_NOT_RUN);
+}
