Keep the table of recently answered requests in a type of its own

The fleet needs it without the rest of Suspects, whose rule for what was running at a crash is about to differ between groups and fleets.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -31,6 +31,7 @@
 mod lifecycle;
 pub mod poison;
 pub(crate) mod poison_tracker;
+pub(crate) mod recent_answers;
 pub mod retry;
 
 /// How long an upstream may be unreachable before its shards move, so that a
--- a/crates/core/src/request/poison.rs
+++ b/crates/core/src/request/poison.rs
@@ -28,6 +28,7 @@
 
 use crate::clock::Millis;
 use crate::id::Fingerprint;
+use crate::request::recent_answers::RecentAnswers;
 
 /// Number of crashes after which a request is harmful.
 const HARMFUL_CRASH_COUNT: usize = 2;
@@ -48,12 +49,6 @@
 /// itself is noticed later, by a probe.
 const LOST_WINDOW_MS: u64 = 1_000;
 
-/// How long an answer keeps a request from becoming a suspect.
-const ANSWER_RETENTION_MS: u64 = 60_000;
-
-/// Number of places in the table of answered requests; each takes 16 bytes.
-const ANSWER_TABLE_LEN: usize = 4_096;
-
 /// Requests that may have crashed this node's upstream.
 #[derive(Clone, Debug)]
 pub struct Suspects {
@@ -61,9 +56,7 @@
     crashes: VecDeque<(Fingerprint, Millis)>,
     /// Requests whose connection was lost since the last crash.
     lost: VecDeque<(Fingerprint, Millis)>,
-    /// Requests that were answered, with the time. The fingerprint modulo the
-    /// length is the index; a newer request overwrites an older one.
-    answered: Vec<Option<(Fingerprint, Millis)>>,
+    answers: RecentAnswers,
 }
 
 impl Default for Suspects {
@@ -79,14 +72,13 @@
         Self {
             crashes: VecDeque::new(),
             lost: VecDeque::new(),
-            answered: vec![None; ANSWER_TABLE_LEN],
+            answers: RecentAnswers::new(),
         }
     }
 
     /// Records that the upstream answered a request, which clears it.
     pub fn record_answer(&mut self, request: Fingerprint, now: Millis) {
-        let index = request.0 as usize % ANSWER_TABLE_LEN;
-        self.answered[index] = Some((request, now));
+        self.answers.record(request, now);
         if !self.crashes.is_empty() {
             self.crashes.retain(|crash| crash.0 != request);
         }
@@ -129,7 +121,7 @@
         all.dedup();
         let (cleared, suspects): (Vec<_>, Vec<_>) = all
             .into_iter()
-            .partition(|&request| self.answered_recently(request, now));
+            .partition(|&request| self.answers.contains(request, now));
         self.crashes.extend(suspects.iter().map(|&request| (request, now)));
         let excess = self.crashes.len().saturating_sub(MAX_SUSPECT_COUNT);
         self.crashes.drain(..excess);
@@ -162,9 +154,6 @@
         request: Fingerprint,
         now: Millis,
     ) -> bool {
-        let index = request.0 as usize % ANSWER_TABLE_LEN;
-        self.answered[index].is_some_and(|(answered, at)| {
-            answered == request && now.since(at) <= ANSWER_RETENTION_MS
-        })
+        self.answers.contains(request, now)
     }
 }
