Attribute a crash to requests by what the upstream may have run

Callers saw: nothing at first; the crash did not count, so a harmful request could crash one upstream more.

Cause: a request that had ended without an answer counted as a suspect only if it had ended after the arrival of the upstream's last announcement. An announcement that was sent before the crash may arrive seconds after it.

Ruled out: the time at which it was sent, which it does not state; a longer fixed window, which either misses a late one or suspects what ended long ago.

Change: such a request is a suspect until its deadline, and beyond it while no request that was sent after its end has been answered. An answer proves that the upstream was up when it received the request. Fleets keep crashes of the local upstream in fleet::local_crashes; groups keep theirs, which do not depend on announcements.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -25,6 +25,7 @@
 pub mod grant_calls;
 pub mod key_load;
 pub mod lease;
+mod local_crashes;
 mod moves;
 pub mod occupancy;
 mod peer_sync;
--- a/crates/core/src/fleet/announce.rs
+++ b/crates/core/src/fleet/announce.rs
@@ -27,7 +27,6 @@
         let was_leaving = self.upstream.is_leaving();
         // One that was found down has been recorded as crashed already.
         let was_up = self.upstream.is_up() && !self.upstream.has_left();
-        let since = self.upstream.announced_at();
         let id = self.upstream.instance_id();
         let recency = match ignored {
             Some(_) => Recency::Stale,
@@ -44,8 +43,9 @@
         }
         if recency == Recency::NewInstance {
             if was_up {
-                self.record_crash(id, since, now, out);
+                self.record_crash(id, now, out);
             }
+            self.requests.crashes.begin_instance();
             self.requests.upstream_restarted();
             self.calls.on_new_instance();
             let id = announcement.instance.id.clone();
@@ -205,7 +205,7 @@
         self.gossip_due = now;
         out.push(Effect::Notice(Notice::UpstreamDown));
         let id = self.upstream.instance_id();
-        self.record_crash(id, self.upstream.announced_at(), now, out);
+        self.record_crash(id, now, out);
         self.refuse_queued(now, out);
     }
 }
--- a/crates/core/src/fleet/crash_memory.rs
+++ b/crates/core/src/fleet/crash_memory.rs
@@ -17,9 +17,10 @@
 
 use crate::clock::Millis;
 use crate::fleet::lease::HarmfulRequest;
+use crate::fleet::local_crashes::{LocalCrashes, Suspects};
 use crate::id::Fingerprint;
-use crate::request::poison::Suspects;
 use crate::request::poison_tracker::{PoisonTracker, QUARANTINE_MS};
+use crate::request::recent_answers::RecentAnswers;
 
 /// Number of upstream crashes, over all nodes, after which a request is
 /// harmful.
@@ -55,22 +56,11 @@
     pub(super) harmful: Vec<Fingerprint>,
 }
 
-/// A crash of the local upstream.
-#[derive(Clone, Debug)]
-pub(super) struct Crash {
-    /// The requests that may have caused it.
-    pub(super) suspects: Vec<Fingerprint>,
-    /// The requests that are no suspects, since they were answered recently.
-    pub(super) cleared: Vec<Fingerprint>,
-    /// What follows from it.
-    pub(super) finding: Finding,
-}
-
 /// Requests that may have crashed upstreams, here and at other nodes.
 #[derive(Debug)]
 pub(super) struct CrashMemory {
-    /// Crashes of the local upstream.
-    own: Suspects,
+    own: LocalCrashes,
+    answers: RecentAnswers,
     /// Crashes of all upstreams.
     tracker: PoisonTracker<Process>,
     harmful: BTreeMap<Fingerprint, Harmful>,
@@ -83,7 +73,8 @@
     pub(super) fn new() -> Self {
         let tracker = PoisonTracker::new(CRASH_LIMIT_COUNT);
         Self {
-            own: Suspects::new(),
+            own: LocalCrashes::default(),
+            answers: RecentAnswers::new(),
             tracker,
             harmful: BTreeMap::new(),
             unrecorded: false,
@@ -102,32 +93,46 @@
         if status >= 500 {
             return;
         }
-        self.own.record_answer(request, now);
+        self.answers.record(request, now);
+        self.own.forget(request);
         self.tracker.forget(request);
         self.harmful.remove(&request);
     }
 
+    /// Records that a new instance of the local upstream has started.
+    pub(super) fn begin_instance(&mut self) {
+        self.own.begin_instance();
+    }
+
+    /// Records that the local upstream has answered a request that was sent at
+    /// `sent`.
+    pub(super) fn record_alive(&mut self, sent: Millis) {
+        self.own.record_alive(sent);
+    }
+
     /// Records that a request ended at the local upstream without an answer.
-    pub(super) fn record_lost(&mut self, request: Fingerprint, now: Millis) {
-        self.own.record_lost(request, now);
+    /// The upstream may go on with it until `deadline`.
+    pub(super) fn record_unanswered(
+        &mut self,
+        request: Fingerprint,
+        deadline: Millis,
+        now: Millis,
+    ) {
+        self.own.record_unanswered(request, deadline, now);
     }
 
     /// Records a crash of the local upstream while these requests were
-    /// running. Requests that have ended without an answer after `since`, when
-    /// the upstream was still up, are suspects as well.
+    /// running.
     pub(super) fn record_crash(
         &mut self,
         running: Vec<Fingerprint>,
-        since: Millis,
         now: Millis,
-    ) -> Crash {
-        let (suspects, cleared) =
-            self.own.record_crash_since(running, since, now);
-        let harmful = self.tracker.record(suspects.clone(), now);
-        let counted = self.counts_of(suspects.iter().copied());
+    ) -> (Suspects, Finding) {
+        let suspects = self.own.record_crash(running, &self.answers, now);
+        let harmful = self.tracker.record(suspects.counted.clone(), now);
+        let counted = self.counts_of(suspects.counted.iter().copied());
         let harmful = self.add_harmful(harmful, true, now);
-        let finding = Finding { counted, harmful };
-        Crash { suspects, cleared, finding }
+        (suspects, Finding { counted, harmful })
     }
 
     /// The number of crashes of each of these requests, where it is two or
@@ -151,7 +156,7 @@
             return Finding::default();
         }
         let mut suspects = suspects.to_vec();
-        suspects.retain(|&s| !self.own.answered_recently(s, now));
+        suspects.retain(|&s| !self.answers.contains(s, now));
         let occurrences = |request: Fingerprint| {
             suspects.iter().filter(|&&s| s == request).count()
         };
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -370,7 +370,9 @@
             State::Running(_) => {
                 self.requests.end_run();
                 self.requests.occupancy.on_abandoned(entry.deadline, now);
-                self.requests.crashes.record_lost(entry.fingerprint, now);
+                let crashes = &mut self.requests.crashes;
+                let request = entry.fingerprint;
+                crashes.record_unanswered(request, entry.deadline, now);
                 out.push(Effect::Abort { ticket });
             }
             State::Queued => self.requests.queue.remove(ticket),
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -6,9 +6,9 @@
     refusal_with_retry,
 };
 use crate::clock::Millis;
-use crate::fleet::crash_memory::Crash;
 use crate::fleet::effect::{Effect, Notice};
 use crate::fleet::event::{Order, Outcome, Source};
+use crate::fleet::local_crashes::Suspects;
 use crate::fleet::queue::QueuedRequest;
 use crate::fleet::rate_limit::RateLimit;
 use crate::fleet::reducer::Fleet;
@@ -249,8 +249,10 @@
             }
             entry.state = State::Concluding;
             let (source, request) = (entry.source, entry.fingerprint);
+            let deadline = entry.deadline;
             self.requests.end_run();
-            self.requests.crashes.record_lost(request, now);
+            let crashes = &mut self.requests.crashes;
+            crashes.record_unanswered(request, deadline, now);
             let good = &mut self.requests.success_ratio;
             *good -= SUCCESS_WEIGHT_RATIO * *good;
             out.push(Effect::Abort { ticket });
@@ -351,10 +353,14 @@
         };
         let State::Running(since) = entry.state else { return };
         let (source, request) = (entry.source, entry.fingerprint);
+        let deadline = entry.deadline;
         let key = entry.order.key;
         entry.state = State::Concluding;
         self.requests.end_run();
         self.record_occupancy(&outcome, now);
+        if outcome.result.is_ok() || outcome.condition.is_some() {
+            self.requests.crashes.record_alive(since);
+        }
         match &outcome.result {
             Ok(status) => {
                 self.requests.record_run(since, *status < 500, now);
@@ -362,7 +368,8 @@
             }
             Err(refusal) => {
                 if refusal.verdict == Verdict::MayHaveRun {
-                    self.requests.crashes.record_lost(request, now);
+                    let crashes = &mut self.requests.crashes;
+                    crashes.record_unanswered(request, deadline, now);
                     self.requests.record_run(since, false, now);
                 } else {
                     let good = &mut self.requests.success_ratio;
@@ -394,13 +401,11 @@
         self.requests.occupancy.on_answer(reported, sent, now);
     }
 
-    /// Records a crash of the upstream named `id`, whose last announcement
-    /// arrived at `since`: the requests that were running, and those that have
-    /// ended without an answer since then, are suspects.
+    /// Records a crash of the upstream named `id`: the requests that may have
+    /// been running are suspects.
     pub(in crate::fleet) fn record_crash(
         &mut self,
         id: String,
-        since: Millis,
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
@@ -410,8 +415,9 @@
                 running.push(entry.fingerprint);
             }
         }
-        let crash = self.requests.crashes.record_crash(running, since, now);
-        let Crash { suspects, cleared, finding } = crash;
+        let crashes = &mut self.requests.crashes;
+        let (suspects, finding) = crashes.record_crash(running, now);
+        let Suspects { counted: suspects, cleared } = suspects;
         let notice = Notice::UpstreamCrashed { id, suspects, cleared };
         out.push(Effect::Notice(notice));
         log_finding(finding, &self.settings.node, out);
--- a/crates/core/src/request/poison.rs
+++ b/crates/core/src/request/poison.rs
@@ -100,18 +100,6 @@
         now: Millis,
     ) -> Vec<Fingerprint> {
         let since = Millis(now.0.saturating_sub(LOST_WINDOW_MS));
-        self.record_crash_since(in_flight, since, now).0
-    }
-
-    /// Like [`Suspects::record_crash`], but attributes to the crash all
-    /// connections that were lost at `since` or later. Returns the requests
-    /// that are no suspects as well, since they were answered recently.
-    pub fn record_crash_since(
-        &mut self,
-        in_flight: impl IntoIterator<Item = Fingerprint>,
-        since: Millis,
-        now: Millis,
-    ) -> (Vec<Fingerprint>, Vec<Fingerprint>) {
         let lost = std::mem::take(&mut self.lost);
         let lost = lost.into_iter().filter(|lost| lost.1 >= since);
         let lost = lost.map(|lost| lost.0);
@@ -119,13 +107,11 @@
         all.extend(lost);
         all.sort();
         all.dedup();
-        let (cleared, suspects): (Vec<_>, Vec<_>) = all
-            .into_iter()
-            .partition(|&request| self.answers.contains(request, now));
-        self.crashes.extend(suspects.iter().map(|&request| (request, now)));
+        all.retain(|&request| !self.answers.contains(request, now));
+        self.crashes.extend(all.iter().map(|&request| (request, now)));
         let excess = self.crashes.len().saturating_sub(MAX_SUSPECT_COUNT);
         self.crashes.drain(..excess);
-        (suspects, cleared)
+        all
     }
 
     /// The suspects of recent crashes, the latest first; a request occurs once
@@ -146,14 +132,4 @@
         });
         crashes.count() >= HARMFUL_CRASH_COUNT
     }
-
-    /// Whether a request was answered so recently that it is no suspect.
-    #[must_use]
-    pub fn answered_recently(
-        &self,
-        request: Fingerprint,
-        now: Millis,
-    ) -> bool {
-        self.answers.contains(request, now)
-    }
 }
--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -393,6 +393,23 @@
     assert_eq!(reported_suspects(&mut harness), [HARMFUL]);
 }
 
+/// Guards against a request that is no suspect since its caller left, although
+/// the upstream may work on it until its time is over.
+#[test]
+fn a_request_whose_caller_left_is_a_suspect_until_its_deadline() {
+    for (waited_ms, expected) in [(900, vec![HARMFUL]), (6_000, vec![])] {
+        let mut harness = running_it();
+        harness.step(Event::Cancelled { ticket: Ticket(1) });
+        harness.now += waited_ms;
+        harness.announce(Phase::Ready, 4);
+        harness.fingerprint = Some(Fingerprint(1));
+        assert_eq!(dispatches(&harness.peer_request(0, 5_000)), 1);
+        harness.upstream_done(2, Ok(200));
+        harness.step(Event::UpstreamDown);
+        assert_eq!(reported_suspects(&mut harness), expected);
+    }
+}
+
 /// Guards against two crashes at one node that count as one: the first is no
 /// longer reported when the second is.
 #[test]
