Report how often a request has crashed an upstream, not how often lately

Callers saw: a request that had crashed three upstreams was sent on, as some nodes had counted two.

Cause: a report held the crashes of the last 10 s, and a receiver counted what was more than in the report before. When the first crash left the report as the second entered it, nothing had risen. A lost datagram, a cut or a full report had the same effect.

Ruled out: a longer period, which moves the moment; an identity for each crash in the datagram, which needs a new encoding and up to 10 bytes more a suspect for the same result.

Change: each process counts the crashes of its upstream for each request, and reports the whole number. Receivers keep the highest number of each process, so that reports may be lost, repeated, or leave out crashes. Suspects with several crashes come first, and earlier ones no longer displace them. Groups share the tracker of reports, so their members report whole numbers too, and a leader tells the processes of a member apart.

New: a_crash_that_is_reported_again_counts_once and, for groups, a_crash_is_reported_with_earlier_ones_of_the_request.

Changed check: crashes_that_lie_apart_add_up fed a peer's reports by hand, each with one crash. A peer now reports one, two and three; the test feeds these, with an empty report after each, and expects what it did. While versions are mixed, the later crashes that a node of the earlier one reports count as one.

--- a/crates/core/src/fleet/crash_memory.rs
+++ b/crates/core/src/fleet/crash_memory.rs
@@ -152,7 +152,7 @@
         suspects: &[Fingerprint],
         now: Millis,
     ) -> Finding {
-        if suspects.is_empty() && !self.tracker.has_report(&process) {
+        if suspects.is_empty() {
             return Finding::default();
         }
         let mut suspects = suspects.to_vec();
--- a/crates/core/src/fleet/local_crashes.rs
+++ b/crates/core/src/fleet/local_crashes.rs
@@ -5,8 +5,12 @@
 //! announcement arrives says nothing about that: the upstream may have sent it
 //! before the crash. An answer does, since the upstream was up when it received
 //! the request.
+//!
+//! For each suspect the number of crashes is counted, and reported as a whole.
+//! It only rises while the request is not answered, so that a peer learns it
+//! from any report, whichever others it has missed.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::clock::Millis;
 use crate::id::Fingerprint;
@@ -14,7 +18,7 @@
 
 /// Number of crashes of the local upstream after which this node refuses a
 /// request, whatever other nodes have counted.
-const LOCAL_LIMIT_COUNT: usize = 2;
+const LOCAL_LIMIT_COUNT: u32 = 2;
 
 /// How long a crash counts against its suspects.
 const CRASH_RETENTION_MS: u64 = 600_000;
@@ -22,9 +26,12 @@
 /// How long the suspects of a crash are reported in each datagram.
 const REPORT_PERIOD_MS: u64 = 10_000;
 
-/// Most suspects that are remembered. All of them take 480 of the 1,200 bytes
-/// that a datagram may have.
-const MAX_SUSPECT_COUNT: usize = 48;
+/// Most crashes of suspects that a report names. All of them take 480 of the
+/// 1,200 bytes that a datagram may have.
+const MAX_REPORTED_COUNT: usize = 48;
+
+/// Most suspects that are remembered.
+const MAX_SUSPECT_COUNT: usize = 256;
 
 /// Most requests without an answer that are remembered.
 const MAX_UNANSWERED_COUNT: usize = 64;
@@ -38,6 +45,13 @@
     deadline: Millis,
 }
 
+/// Number of crashes at which a request was running.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct CrashCount {
+    crashes: u32,
+    latest: Millis,
+}
+
 /// The suspects of a crash.
 #[derive(Clone, Debug)]
 pub(super) struct Suspects {
@@ -53,8 +67,7 @@
     unanswered: VecDeque<Unanswered>,
     /// When the latest request was sent that the upstream has answered.
     alive_at: Millis,
-    /// Suspects with the time of their crash, the oldest first.
-    crashes: VecDeque<(Fingerprint, Millis)>,
+    counts: BTreeMap<Fingerprint, CrashCount>,
 }
 
 impl LocalCrashes {
@@ -106,24 +119,49 @@
         let (cleared, counted): (Vec<_>, Vec<_>) = all
             .into_iter()
             .partition(|&request| answers.contains(request, now));
-        self.crashes.extend(counted.iter().map(|&request| (request, now)));
-        let excess = self.crashes.len().saturating_sub(MAX_SUSPECT_COUNT);
-        self.crashes.drain(..excess);
+        self.counts.retain(|_, count| count.counts_at(now));
+        for &request in &counted {
+            let new = CrashCount { crashes: 0, latest: now };
+            let count = self.counts.entry(request).or_insert(new);
+            *count = CrashCount { crashes: count.crashes + 1, latest: now };
+        }
+        self.drop_excess();
         Suspects { counted, cleared }
     }
 
+    /// Forgets the suspects beyond [`MAX_SUSPECT_COUNT`], those with few
+    /// crashes first and of these the earliest.
+    fn drop_excess(&mut self) {
+        while self.counts.len() > MAX_SUSPECT_COUNT {
+            let least = self.counts.iter().min_by_key(|(_, count)| **count);
+            let Some((&least, _)) = least else { break };
+            self.counts.remove(&least);
+        }
+    }
+
     /// Forgets the crashes at which a request was running.
     pub(super) fn forget(&mut self, request: Fingerprint) {
-        self.crashes.retain(|crash| crash.0 != request);
+        self.counts.remove(&request);
     }
 
-    /// The suspects of recent crashes, the latest first; a request occurs once
-    /// for each crash.
+    /// The suspects of recent crashes. A request occurs once for each of its
+    /// crashes, the recent and earlier ones; those with most crashes come
+    /// first, and of these the latest.
     pub(super) fn report(&self, now: Millis) -> Vec<Fingerprint> {
-        let recent =
-            |crash: &&(_, Millis)| now.since(crash.1) <= REPORT_PERIOD_MS;
-        let crashes = self.crashes.iter().rev().take_while(recent);
-        crashes.map(|crash| crash.0).collect()
+        let mut reported: Vec<(CrashCount, Fingerprint)> = Vec::new();
+        for (&request, &count) in &self.counts {
+            if now.since(count.latest) <= REPORT_PERIOD_MS {
+                reported.push((count, request));
+            }
+        }
+        reported.sort_unstable();
+        let mut report = Vec::new();
+        for (count, request) in reported.into_iter().rev() {
+            let crashes = count.crashes as usize;
+            report.extend(std::iter::repeat_n(request, crashes));
+        }
+        report.truncate(MAX_REPORTED_COUNT);
+        report
     }
 
     /// Whether a request was running at so many crashes of this upstream that
@@ -133,10 +171,16 @@
         request: Fingerprint,
         now: Millis,
     ) -> bool {
-        let crashes = self.crashes.iter().filter(|crash| {
-            crash.0 == request && now.since(crash.1) <= CRASH_RETENTION_MS
-        });
-        crashes.count() >= LOCAL_LIMIT_COUNT
+        self.counts.get(&request).is_some_and(|count| {
+            count.counts_at(now) && count.crashes >= LOCAL_LIMIT_COUNT
+        })
+    }
+}
+
+impl CrashCount {
+    /// Whether the crashes still count.
+    fn counts_at(&self, now: Millis) -> bool {
+        now.since(self.latest) <= CRASH_RETENTION_MS
     }
 }
 
--- a/crates/core/src/group/leader.rs
+++ b/crates/core/src/group/leader.rs
@@ -177,7 +177,8 @@
     dirty: bool,
     next_reconcile: Millis,
     standbys: Vec<NodeAddr>,
-    poison: PoisonTracker<NodeAddr>,
+    /// Counts crashes by the processes of members that report them.
+    poison: PoisonTracker<(NodeAddr, Incarnation)>,
     promises: BTreeMap<NodeAddr, standbys::PromiseState>,
     /// When the next promise requests are due.
     next_request: Millis,
@@ -325,7 +326,8 @@
         {
             self.poison.inherit(&detail.poison, now);
         }
-        let new = self.poison.report(from, &heartbeat.suspects, now);
+        let process = (from, heartbeat.incarnation);
+        let new = self.poison.report(process, &heartbeat.suspects, now);
         if !new.is_empty() || self.poison.refused().len() != before {
             self.mark_all_changed();
         }
--- a/crates/core/src/group/leader/shards.rs
+++ b/crates/core/src/group/leader/shards.rs
@@ -63,7 +63,6 @@
             self.mark_changed(node);
             if self.members.get(&node).is_some_and(|m| m.is_silent(now)) {
                 self.members.remove(&node);
-                self.poison.forget_node(&node);
                 out.push(Effect::Notice(Notice::MemberLost { node }));
             }
         }
--- a/crates/core/src/request/poison.rs
+++ b/crates/core/src/request/poison.rs
@@ -24,7 +24,7 @@
 //! assert!(suspects.is_harmful(Fingerprint(2), Millis(9_000)));
 //! ```
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use crate::clock::Millis;
 use crate::id::Fingerprint;
@@ -114,14 +114,21 @@
         all
     }
 
-    /// The suspects of recent crashes, the latest first; a request occurs once
-    /// for each crash.
+    /// The suspects of recent crashes, the latest first. A request occurs once
+    /// for each of its crashes, the recent and earlier ones, so that a leader
+    /// that has missed a report learns the number from the next.
     #[must_use]
     pub fn report(&self, now: Millis) -> Vec<Fingerprint> {
-        let recent =
-            |crash: &&(_, Millis)| now.since(crash.1) <= REPORT_PERIOD_MS;
-        let crashes = self.crashes.iter().rev().take_while(recent);
-        crashes.map(|crash| crash.0).collect()
+        let latest_first = || self.crashes.iter().rev();
+        let recent: BTreeSet<Fingerprint> = latest_first()
+            .take_while(|crash| now.since(crash.1) <= REPORT_PERIOD_MS)
+            .map(|crash| crash.0)
+            .collect();
+        latest_first()
+            .filter(|crash| now.since(crash.1) <= CRASH_RETENTION_MS)
+            .map(|crash| crash.0)
+            .filter(|request| recent.contains(request))
+            .collect()
     }
 
     /// Whether a request was in flight at two recent crashes of this upstream.
--- a/crates/core/src/request/poison_tracker.rs
+++ b/crates/core/src/request/poison_tracker.rs
@@ -16,14 +16,23 @@
 /// Most fingerprints whose crashes are counted. Each takes about 50 bytes.
 const MAX_TRACKED_COUNT: usize = 4_096;
 
+/// Most fingerprints of a process whose reported crashes are remembered. It
+/// must exceed what one report can name, or crashes would count again.
+const MAX_REPORTED_COUNT: usize = 64;
+
+/// Number of crashes, and a time, by the fingerprint of the request.
+type Counts = BTreeMap<Fingerprint, (u32, Millis)>;
+
 /// Counts crashes by the fingerprints of the requests that were in flight. `N`
-/// identifies a node that reports them.
+/// identifies a process of a node that reports them.
 #[derive(Debug)]
 pub(crate) struct PoisonTracker<N> {
     /// Number of crashes after which requests of a fingerprint are refused.
     crash_limit: u32,
-    reported: BTreeMap<N, BTreeMap<Fingerprint, u32>>,
-    crashes: BTreeMap<Fingerprint, (u32, Millis)>,
+    /// The highest number of crashes that each process has reported, and when
+    /// it last reported the request.
+    reported: BTreeMap<N, Counts>,
+    crashes: Counts,
     refused: Vec<Fingerprint>,
 }
 
@@ -44,12 +53,13 @@
         &self.refused
     }
 
-    /// Counts the crashes in a node's list of suspects. Entries that were in
-    /// its previous report are not counted again. Returns newly refused
-    /// fingerprints.
+    /// Counts the crashes in the report of a node's process: a request occurs
+    /// in it as often as it was running at crashes there. The highest count
+    /// that the process has reported stands, so that reports may be lost,
+    /// repeated or leave out crashes. Returns newly refused fingerprints.
     pub(crate) fn report(
         &mut self,
-        node: N,
+        process: N,
         suspects: &[Fingerprint],
         now: Millis,
     ) -> Vec<Fingerprint> {
@@ -58,18 +68,19 @@
             *counts.entry(suspect).or_default() += 1;
         }
         if counts.is_empty() {
-            self.reported.remove(&node);
             return self.update_refused(now);
         }
-        let previous = self.reported.entry(node).or_default();
-        for (suspect, &count) in &counts {
-            let before = previous.get(suspect).copied().unwrap_or(0);
-            if count > before {
-                let crashes = self.crashes.entry(*suspect).or_insert((0, now));
-                *crashes = (crashes.0 + count - before, now);
+        let known = self.reported.entry(process).or_default();
+        for (suspect, count) in counts {
+            let highest = known.entry(suspect).or_insert((0, now));
+            let new = count.saturating_sub(highest.0);
+            *highest = (highest.0 + new, now);
+            if new > 0 {
+                let crashes = self.crashes.entry(suspect).or_insert((0, now));
+                *crashes = (crashes.0 + new, now);
             }
         }
-        *previous = counts;
+        drop_oldest(known, MAX_REPORTED_COUNT);
         self.update_refused(now)
     }
 
@@ -97,11 +108,6 @@
         self.crashes.remove(&request);
     }
 
-    /// Whether the last report of a node named any suspect.
-    pub(crate) fn has_report(&self, node: &N) -> bool {
-        self.reported.contains_key(node)
-    }
-
     /// Adopts the fingerprints that another tracker refuses.
     pub(crate) fn inherit(&mut self, refused: &[Fingerprint], now: Millis) {
         for &fingerprint in refused {
@@ -115,7 +121,11 @@
     /// ones.
     pub(crate) fn update_refused(&mut self, now: Millis) -> Vec<Fingerprint> {
         self.crashes.retain(|_, c| now.since(c.1) < QUARANTINE_MS);
-        self.drop_excess();
+        drop_oldest(&mut self.crashes, MAX_TRACKED_COUNT);
+        self.reported.retain(|_, known| {
+            known.retain(|_, c| now.since(c.1) < QUARANTINE_MS);
+            !known.is_empty()
+        });
         let mut harmful: Vec<(Millis, Fingerprint)> = self
             .crashes
             .iter()
@@ -136,22 +146,17 @@
         self.refused = refused;
         new
     }
+}
 
-    /// Forgets the earliest crashes beyond [`MAX_TRACKED_COUNT`].
-    fn drop_excess(&mut self) {
-        let excess = self.crashes.len().saturating_sub(MAX_TRACKED_COUNT);
-        if excess == 0 {
-            return;
-        }
-        let mut times: Vec<Millis> =
-            self.crashes.values().map(|crash| crash.1).collect();
-        times.sort();
-        let newest_dropped = times[excess - 1];
-        self.crashes.retain(|_, crash| crash.1 > newest_dropped);
-    }
-
-    /// Forgets the last report of a lost node; its crashes still count.
-    pub(crate) fn forget_node(&mut self, node: &N) {
-        self.reported.remove(node);
+/// Forgets the earliest entries beyond `max_len`.
+fn drop_oldest(counts: &mut Counts, max_len: usize) {
+    let excess = counts.len().saturating_sub(max_len);
+    if excess == 0 {
+        return;
     }
+    let mut times: Vec<Millis> =
+        counts.values().map(|count| count.1).collect();
+    times.sort();
+    let newest_dropped = times[excess - 1];
+    counts.retain(|_, count| count.1 > newest_dropped);
 }
--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -63,15 +63,32 @@
 fn crashes_that_lie_apart_add_up() {
     let mut harness = Harness::new();
     harness.fingerprint = Some(HARMFUL);
-    for crash in 0..3 {
-        assert_eq!(refusal_reason(&mut harness), None, "after {crash}");
-        harness.gossip_with(1, "k", &[HARMFUL]);
-        harness.gossip_with(1, "k", &[HARMFUL]);
+    for crashes in 1..=3 {
+        assert_eq!(refusal_reason(&mut harness), None, "before {crashes}");
+        harness.gossip_with(1, "k", &vec![HARMFUL; crashes]);
+        harness.gossip_with(1, "k", &vec![HARMFUL; crashes]);
         harness.now += REPORTS_OVER_MS;
+        harness.gossip(1, "k");
     }
     assert_eq!(refusal_reason(&mut harness), Some(Reason::Poisoned));
 }
 
+/// Guards against crashes that count more than once, since reports arrive again
+/// or leave out what an earlier one named.
+#[test]
+fn a_crash_that_is_reported_again_counts_once() {
+    let mut harness = Harness::new();
+    harness.fingerprint = Some(HARMFUL);
+    for _ in 0..3 {
+        harness.gossip_with(1, "k", &[HARMFUL]);
+        harness.gossip_with(2, "k", &[HARMFUL]);
+        harness.now += REPORTS_OVER_MS;
+        harness.gossip(1, "k");
+        harness.gossip(2, "k");
+    }
+    assert_eq!(refusal_reason(&mut harness), None);
+}
+
 /// Guards against a frequent harmless request that is refused since it was
 /// running at several crashes.
 #[test]
--- a/crates/core/tests/requests/poison.rs
+++ b/crates/core/tests/requests/poison.rs
@@ -65,6 +65,20 @@
     }
 }
 
+/// Guards against a leader that takes a second crash for the first one, which
+/// is no longer reported by itself.
+#[test]
+fn a_crash_is_reported_with_earlier_ones_of_the_request() {
+    let mut harness = Harness::owner();
+    harness.arrive(harmful(1));
+    crash(&mut harness, 1, true);
+    harness.now += 11_000;
+    assert_eq!(suspects(&harness), []);
+    harness.arrive(harmful(2));
+    crash(&mut harness, 2, true);
+    assert_eq!(suspects(&harness), [HARMFUL, HARMFUL]);
+}
+
 #[test]
 fn the_leaders_list_is_refused_at_every_member() {
     let mut harness = Harness::owner();
