Tell nodes that missed the reports of a crash about it

Callers saw: a request that had crashed three upstreams was sent on by a node that had been cut off, frozen or not yet started at one of the crashes.

Cause: the suspects of a crash were in reports for 10 s and never again.

Ruled out: naming them in every report for the ten minutes that they count: 12 suspects are 120 bytes in each of five datagrams a second to each node.

Change: one report of ten names all crashes that count, and so does the next one after a node has been heard for the first time, as a new process, or again after a silence. Receivers keep the highest number, so nothing counts twice.

--- a/crates/core/src/fleet/crash_memory.rs
+++ b/crates/core/src/fleet/crash_memory.rs
@@ -33,6 +33,10 @@
 /// each takes up to 30 of them.
 const MAX_REPORTED_COUNT: usize = 8;
 
+/// One of so many reports names the suspects of all crashes that count, for
+/// nodes that were cut off, frozen or not yet started when they were recent.
+const COMPLETE_REPORT_COUNT: u32 = 10;
+
 /// Identifies the process of a node: its name and incarnation.
 type Process = (String, u64);
 
@@ -67,6 +71,8 @@
     /// Whether this node has found a request harmful that its record in the
     /// store does not name yet.
     unrecorded: bool,
+    /// Number of reports since the last one that named all crashes.
+    incomplete_reports: u32,
 }
 
 impl CrashMemory {
@@ -78,6 +84,7 @@
             tracker,
             harmful: BTreeMap::new(),
             unrecorded: false,
+            incomplete_reports: 0,
         }
     }
 
@@ -209,11 +216,21 @@
         }
     }
 
-    /// What the other nodes are told: the requests that were running at recent
+    /// Has the next report name all crashes, since a node may have missed
+    /// earlier reports.
+    pub(super) fn complete_next_report(&mut self) {
+        self.incomplete_reports = COMPLETE_REPORT_COUNT;
+    }
+
+    /// What the other nodes are told: the requests that were running at
     /// crashes of the local upstream, each once for each crash, and those that
-    /// this node has found harmful, as often as [`CRASH_LIMIT_COUNT`].
-    pub(super) fn report(&self, now: Millis) -> Vec<Fingerprint> {
-        let mut report = self.own.report(now);
+    /// this node has found harmful, as often as [`CRASH_LIMIT_COUNT`]. Most
+    /// reports name only the suspects of recent crashes.
+    pub(super) fn report(&mut self, now: Millis) -> Vec<Fingerprint> {
+        let complete = self.incomplete_reports + 1 >= COMPLETE_REPORT_COUNT;
+        self.incomplete_reports =
+            if complete { 0 } else { self.incomplete_reports + 1 };
+        let mut report = self.own.report(complete, now);
         for (_, request) in self.found_harmful(now) {
             let times = CRASH_LIMIT_COUNT as usize;
             report.extend(std::iter::repeat_n(request, times));
--- a/crates/core/src/fleet/local_crashes.rs
+++ b/crates/core/src/fleet/local_crashes.rs
@@ -144,13 +144,18 @@
         self.counts.remove(&request);
     }
 
-    /// The suspects of recent crashes. A request occurs once for each of its
-    /// crashes, the recent and earlier ones; those with most crashes come
-    /// first, and of these the latest.
-    pub(super) fn report(&self, now: Millis) -> Vec<Fingerprint> {
+    /// The suspects of recent crashes, or of all that count if `complete`. A
+    /// request occurs once for each of its crashes, the recent and earlier
+    /// ones; those with most crashes come first, and of these the latest.
+    pub(super) fn report(
+        &self,
+        complete: bool,
+        now: Millis,
+    ) -> Vec<Fingerprint> {
         let mut reported: Vec<(CrashCount, Fingerprint)> = Vec::new();
         for (&request, &count) in &self.counts {
-            if now.since(count.latest) <= REPORT_PERIOD_MS {
+            let recent = now.since(count.latest) <= REPORT_PERIOD_MS;
+            if recent || complete && count.counts_at(now) {
                 reported.push((count, request));
             }
         }
--- a/crates/core/src/fleet/peer_sync.rs
+++ b/crates/core/src/fleet/peer_sync.rs
@@ -106,12 +106,21 @@
         }
         let versions = gossip.versions;
         let node = gossip.node.clone();
-        let process = (node.clone(), gossip.incarnation);
+        let incarnation = gossip.incarnation;
+        let process = (node.clone(), incarnation);
+        let heard = self.directory.is_live(&node, now)
+            && self
+                .directory
+                .get(&node)
+                .is_some_and(|peer| peer.gossip.incarnation == incarnation);
         let suspects = gossip.suspects.clone();
         if !self.directory.update(from, gossip, now) {
             return;
         }
         let crashes = &mut self.requests.crashes;
+        if !heard {
+            crashes.complete_next_report();
+        }
         let finding = crashes.record_report(process, &suspects, now);
         log_finding(finding, &node, out);
         self.takeovers.remove(&node);
--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -462,6 +462,21 @@
     assert!(told.contains(&HARMFUL));
 }
 
+/// Guards against a node that has just started, or is back after a cut, and
+/// must wait for what it missed.
+#[test]
+fn a_node_that_is_heard_again_is_told_of_all_crashes() {
+    let mut peer = running_it();
+    peer.step(Event::UpstreamDown);
+    peer.now += REPORTS_OVER_MS;
+    reported_suspects(&mut peer);
+    assert_eq!(reported_suspects(&mut peer), []);
+    peer.gossip(2, "k");
+    assert_eq!(reported_suspects(&mut peer), [HARMFUL]);
+    peer.gossip(2, "k");
+    assert_eq!(reported_suspects(&mut peer), []);
+}
+
 /// Guards against a repeated crash that is not reported, since the suspects of
 /// others have displaced the first one.
 #[test]
