Count one crash of an instance for a request

Callers saw: a harmless request refused for ten minutes, if it was running each time an upstream under load reset a new connection.

Cause: an upstream that refuses a connection counts as crashed, and one that announces itself again as up. The same instance could count several times for a request; only its end is a crash.

Ruled out: waiting for the next instance before a crash counts; it starts seconds later, and the request may crash others meanwhile.

Change: a request is a suspect once for each instance of the local upstream.

--- a/crates/core/src/fleet/local_crashes.rs
+++ b/crates/core/src/fleet/local_crashes.rs
@@ -10,7 +10,7 @@
 //! It only rises while the request is not answered, so that a peer learns it
 //! from any report, whichever others it has missed.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::clock::Millis;
 use crate::id::Fingerprint;
@@ -68,12 +68,16 @@
     /// When the latest request was sent that the upstream has answered.
     alive_at: Millis,
     counts: BTreeMap<Fingerprint, CrashCount>,
+    /// The requests for which a crash of the current instance is counted. An
+    /// instance that refuses connections has not always ended.
+    counted: BTreeSet<Fingerprint>,
 }
 
 impl LocalCrashes {
     /// Records that a new instance of the upstream has started.
     pub(super) fn begin_instance(&mut self) {
         self.unanswered.clear();
+        self.counted.clear();
     }
 
     /// Records that the upstream has answered a request that was sent at
@@ -101,7 +105,8 @@
         });
     }
 
-    /// Records a crash of the upstream while these requests were running.
+    /// Records a crash of the upstream while these requests were running. A
+    /// request is a suspect once for each instance.
     pub(super) fn record_crash(
         &mut self,
         running: Vec<Fingerprint>,
@@ -116,6 +121,7 @@
         }
         all.sort();
         all.dedup();
+        all.retain(|request| !self.counted.contains(request));
         let (cleared, counted): (Vec<_>, Vec<_>) = all
             .into_iter()
             .partition(|&request| answers.contains(request, now));
@@ -126,6 +132,7 @@
             *count = CrashCount { crashes: count.crashes + 1, latest: now };
         }
         self.drop_excess();
+        self.counted.extend(&counted);
         Suspects { counted, cleared }
     }
 
