Check for harmful requests each time one is placed

Callers saw: a request that was waiting for an owner of its key, or that a node had refused, was sent on after it had become known as harmful.

Cause: the ingress looked up a request on arrival and before it counted a repeat; a request that had not run yet was placed again without a look. The node beside the upstream looks as well, but may not have heard of the crash.

Ruled out: ending waiting requests as soon as one is found harmful; the next placement, at most half a second later, is soon enough, and is one place.

Change: placing a request looks it up.

--- a/crates/core/src/fleet/request/ingress.rs
+++ b/crates/core/src/fleet/request/ingress.rs
@@ -174,6 +174,9 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(entry) = self.requests.entries.get(&ticket) else { return };
+        if self.requests.crashes.is_harmful(entry.fingerprint, now) {
+            return self.refuse(ticket, harmful_refusal(), now, out);
+        }
         match entry.order.key {
             Some(key) => self.place_keyed(ticket, key, now, out),
             None => self.place_any(ticket, now, out),
@@ -530,6 +533,6 @@
             return self.refuse(ticket, refusal, now, out);
         }
         entry.state = State::AwaitingOwner;
-        self.place_any(ticket, now, out);
+        self.place(ticket, now, out);
     }
 }
