Tell requests of different services apart when they crash upstreams

Callers could see: a harmful request that runs again, since an upstream answered the same path, key and body from another service within the last minute; or their harmless request refused for ten minutes as another service's crashes upstreams.

Cause: the fingerprint left out the caller. The platform says that a harmful request returns with the same path, caller and body.

In a router for servers that own keys the key says what a request is about; without it an answer to one tenant would clear the harmful request of another, and a harmful one would take the path from all tenants.

Change: the service where the request arrived is part of its fingerprint, the same at the ingress and at the upstream's node. Nodes of the earlier version have other fingerprints; while versions are mixed, each counts for itself, as it does for harmful requests that the store has from before.

--- a/crates/node/src/fleet/message.rs
+++ b/crates/node/src/fleet/message.rs
@@ -49,9 +49,17 @@
 }
 
 impl Call {
-    /// The request as the reducer sees it.
+    /// The request as the reducer sees it, at a node beside an upstream of
+    /// `service`.
     #[must_use]
-    pub fn arrival(&self, ticket: Ticket, source: Source) -> Arrival {
+    pub fn arrival(
+        &self,
+        ticket: Ticket,
+        source: Source,
+        service: &str,
+    ) -> Arrival {
+        let order = self.order.as_ref();
+        let origin = order.map_or(service, |order| &order.origin);
         Arrival {
             ticket,
             source,
@@ -60,16 +68,18 @@
             path: self.path.clone(),
             key: self.meta.key,
             budget: self.meta.timeout_ms,
-            fingerprint: self.fingerprint(),
+            fingerprint: self.fingerprint(origin),
             order: self.order.clone(),
         }
     }
 
-    /// Hash of method, host, path, key and body, by which requests that
-    /// crash upstreams are recognized.
-    fn fingerprint(&self) -> Fingerprint {
+    /// Hash of the calling service, method, host, path, key and body, by which
+    /// requests that crash upstreams are recognized. Upstreams are told the
+    /// calling service, and may treat its requests differently.
+    fn fingerprint(&self, origin: &str) -> Fingerprint {
         let mut hash = Xxh3Default::new();
-        for part in [self.method.as_str(), &self.host, &self.path] {
+        let method = self.method.as_str();
+        for part in [origin, method, &self.host, &self.path] {
             hash.update(&(part.len() as u64).to_le_bytes());
             hash.update(part.as_bytes());
         }
--- a/crates/node/src/fleet/shell.rs
+++ b/crates/node/src/fleet/shell.rs
@@ -249,7 +249,8 @@
         let ticket = self.next_ticket();
         let (reply_sender, reply) = oneshot::channel();
         let call = Rc::new(call);
-        let arrival = call.arrival(ticket, source);
+        let service = &self.inner.settings.service;
+        let arrival = call.arrival(ticket, source, service);
         let entry = PendingRequest {
             call,
             source,
