Name the suspects of the latest crash in heartbeats

Callers could see, in groups: a request that crashes one upstream more, since the leader is told of the crash only after its earlier suspects have aged out.

Cause: a heartbeat has room for 16 suspects. It took the last ones of a list that begins with the latest crash, so with more than 16 the latest was left out.

Ruled out: rotation as for hot keys; the leader keeps the highest number of each member, and the requests that matter are those that crashed again.

Change: it takes the first ones.

Test that failed before: heartbeats_name_the_suspects_of_the_latest_crash.

--- a/crates/core/src/group/member.rs
+++ b/crates/core/src/group/member.rs
@@ -268,11 +268,10 @@
             detail: (!self.detail_known)
                 .then(|| self.build_detail(identity, load).into()),
             hot: self.next_hot_keys(load),
-            suspects: last_items(
-                &load.suspects,
+            suspects: truncated(
+                load.suspects.clone(),
                 heartbeat_limits::MAX_SUSPECT_COUNT,
-            )
-            .to_vec(),
+            ),
         }
     }
 
@@ -477,11 +476,7 @@
     all
 }
 
-fn truncated(mut list: Vec<Shard>, max_len: usize) -> Vec<Shard> {
+fn truncated<T>(mut list: Vec<T>, max_len: usize) -> Vec<T> {
     list.truncate(max_len);
     list
 }
-
-fn last_items<T>(list: &[T], max_len: usize) -> &[T] {
-    &list[list.len().saturating_sub(max_len)..]
-}
--- a/crates/core/src/group/parts.rs
+++ b/crates/core/src/group/parts.rs
@@ -242,8 +242,8 @@
     pub(crate) const MAX_RELEASED_COUNT: usize = 64;
     /// Hot keys in one heartbeat; a member with more reports them in rotation.
     pub(crate) const MAX_HOT_KEY_COUNT: usize = 4;
-    /// Fingerprints in flight at crashes in one heartbeat: the earliest of
-    /// those that are still reported.
+    /// Fingerprints in flight at crashes in one heartbeat: those of the latest
+    /// crashes.
     pub(crate) const MAX_SUSPECT_COUNT: usize = 16;
 }
 
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use lagoondyke_core::config::Config;
-use lagoondyke_core::id::KeyHash;
+use lagoondyke_core::id::{Fingerprint, KeyHash};
 use lagoondyke_core::route::Lookup;
 use support::{NetFaults, Sim, addr, config};
 
@@ -731,3 +731,22 @@
     let sim = recovered(sim, 100);
     assert_eq!(sim.key_counts(), vec![4; 6]);
 }
+
+/// Guards against heartbeats that leave out the latest crash, since they have
+/// no room for all suspects.
+#[test]
+fn heartbeats_name_the_suspects_of_the_latest_crash() {
+    let mut sim = settled(4, 5);
+    let harmful = Fingerprint(66);
+    let earlier = (100..140).map(Fingerprint);
+    let suspects: Vec<Fingerprint> =
+        std::iter::once(harmful).chain(earlier).collect();
+    for node in 0..2 {
+        sim.hosts[node].load.suspects.clone_from(&suspects);
+    }
+    sim.run(3_000);
+    for host in &sim.hosts {
+        let group = host.group.as_ref().expect("the node runs");
+        assert!(group.poison().contains(&harmful));
+    }
+}
