--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -526,3 +526,22 @@
     let refused = refusal(&out).expect("the request crashes upstreams");
     assert_eq!((refused.reason, refused.verdict), POISONED_NOT_RUN);
 }
+
+/// Guards against a harmful request that runs since it was queued for the
+/// upstream when it became known as harmful.
+#[test]
+fn a_queued_request_that_turns_out_to_be_harmful_does_not_run() {
+    let mut harness = Harness::new();
+    harness.announce(Phase::Ready, 1);
+    assert_eq!(dispatches(&harness.peer_request(0, 5_000)), 1);
+    harness.fingerprint = Some(HARMFUL);
+    let out = harness.peer_request(0, 5_000);
+    assert_eq!((dispatches(&out), refusal(&out)), (0, None));
+    for index in 1..=3 {
+        harness.gossip_with(index, "k", &[HARMFUL]);
+    }
+    let out = harness.upstream_done(1, Ok(200));
+    assert_eq!(dispatches(&out), 0);
+    let refused = refusal(&out).expect("the request crashes upstreams");
+    assert_eq!((refused.reason, refused.verdict), POISONED_NOT_RUN);
+}
--- a/crates/lagoondyked/tests/fleet.rs
+++ b/crates/lagoondyked/tests/fleet.rs
@@ -34,3 +34,12 @@
     assert!(findings.violations.is_empty(), "{:?}", findings.violations);
     assert!(findings.answered > 0);
 }
+
+/// Guards against a harmful request that is cleared by the answer to the same
+/// request of another service, or whose crash a late announcement hides: with
+/// this seed it once crashed ten upstreams.
+#[test]
+fn a_harmful_request_with_a_harmless_twin_crashes_few_upstreams() {
+    let findings = run_soak(9300, 12, 5, false);
+    assert!(findings.violations.is_empty(), "{:?}", findings.violations);
+}
