Follow a leader of a group that leads again in a later epoch

Callers saw: after all nodes of a group were killed and started at once, one node served all keys and the others none, for as long as they ran.

Cause: a member that knew a leader ignored a later epoch of the same address. After the restart the members read the record before the former leader had written its next epoch. They went on to report in the old one, and the leader answered that it knew no such member. These answers counted as signs of life, so no member read the record again.

Ruled out: the record (it names the leader and epoch 2), the datagrams (both ways, 2 a second each), and the standbys' promises (no takeover was pending).

Change: a later epoch is adopted whoever leads it, as a new leader's is.

--- a/crates/core/src/group/member.rs
+++ b/crates/core/src/group/member.rs
@@ -103,10 +103,8 @@
         epoch: Epoch,
         now: Millis,
     ) -> bool {
-        if epoch < self.epoch || self.leader == Some(leader) {
-            return false;
-        }
-        if epoch == self.epoch && self.leader.is_some() {
+        let known = epoch == self.epoch && self.leader.is_some();
+        if epoch < self.epoch || known {
             return false;
         }
         self.epoch = epoch;
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -750,3 +750,20 @@
         assert!(group.poison().contains(&harmful));
     }
 }
+
+/// Guards against members that stay without a lease after all nodes have
+/// restarted and the same node leads again: they must learn its new epoch.
+#[test]
+fn all_members_get_leases_from_a_leader_that_has_restarted() {
+    for seed in 60..70 {
+        let mut sim = settled(4, seed);
+        for node in 0..4 {
+            sim.kill(node);
+        }
+        for node in 0..4 {
+            sim.start(node);
+        }
+        sim.run(10_000);
+        assert_eq!(sim.key_counts(), vec![6; 4], "seed {seed}");
+    }
+}
