--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod grant_calls;
 mod limits;
+mod malformed;
 mod occupancy;
 mod ownership;
 mod proposal;
--- a/crates/node/tests/decoders.rs
+++ b/crates/node/tests/decoders.rs
@@ -3,7 +3,8 @@
 
 use bytes::BytesMut;
 use lagoondyke_core::control::{Control, Locate, MAX_DATAGRAM_BYTES};
-use lagoondyke_core::id::GroupId;
+use lagoondyke_core::fleet::gossip::{Gossip, MAX_GOSSIP_BYTES};
+use lagoondyke_core::id::{Fingerprint, GroupId};
 use lagoondyke_core::peer::{Frame, encode};
 use lagoondyke_node::frames;
 use lagoondyke_node::wire::{
@@ -87,6 +88,24 @@
     });
 }
 
+/// Guards against gossip datagrams that crash the node.
+#[test]
+fn gossip_datagrams() {
+    let gossip = Gossip {
+        node: "n1".to_owned(),
+        lease: Some((7, 3_000)),
+        suspects: vec![Fingerprint(u64::MAX); 3],
+        ..Gossip::default()
+    };
+    let samples = [
+        gossip.encode().expect("gossip can be encoded"),
+        vec![2; MAX_GOSSIP_BYTES + 1],
+    ];
+    feed("gossip datagrams", &samples, |input| {
+        Gossip::decode(input).map(|_| true)
+    });
+}
+
 /// Guards against peer frames that crash the node or exhaust its memory.
 #[test]
 fn peer_frames() {
@@ -110,7 +129,6 @@
 }
 
 fn request() -> Frame {
-    use lagoondyke_core::id::Fingerprint;
     Frame::Request(lagoondyke_core::peer::RequestFrame {
         id: 5,
         service: "s".to_owned(),
