Count a crash after the one before it has expired

Callers could see: a request that crashes one upstream more than it should, if it had crashed the same one ten to twenty minutes before.

A process that reports a crash again kept the receiver's memory of the number alive after the crash itself no longer counted; the process then began at one again, which was no rise.

Ruled out: taking a lower number for a new beginning; a report that is cut to the size of a datagram may name fewer crashes.

Change: the number is remembered from the report that raised it, for as long as its crash counts, and expired entries are dropped before a report is counted.

--- a/crates/core/src/fleet/crash_memory.rs
+++ b/crates/core/src/fleet/crash_memory.rs
@@ -1,11 +1,10 @@
 //! Memory of the requests that crash upstreams.
 //!
-//! A node reports to its peers which requests were running when its upstream
-//! crashed. Each node counts these reports and remembers them for longer than
-//! they are repeated, since a request may return at any node long after the
-//! crash. A request that was running at [`CRASH_LIMIT_COUNT`] crashes is
-//! harmful. An answer clears a request, because a frequent one is running at
-//! many crashes.
+//! A node reports to its peers how often each request was running when its
+//! upstream crashed. Each node adds up the highest numbers that the others have
+//! reported, since a request may return at any node long after a crash. A
+//! request that was running at [`CRASH_LIMIT_COUNT`] crashes is harmful. An
+//! answer clears a request, because a frequent one is running at many crashes.
 //!
 //! A node that finds a request harmful names it in its reports as often as the
 //! limit says, so that nodes that have restarted since the crashes learn of
--- a/crates/core/src/request/poison_tracker.rs
+++ b/crates/core/src/request/poison_tracker.rs
@@ -30,7 +30,7 @@
     /// Number of crashes after which requests of a fingerprint are refused.
     crash_limit: u32,
     /// The highest number of crashes that each process has reported, and when
-    /// it last reported the request.
+    /// it first did.
     reported: BTreeMap<N, Counts>,
     crashes: Counts,
     refused: Vec<Fingerprint>,
@@ -70,15 +70,17 @@
         if counts.is_empty() {
             return self.update_refused(now);
         }
+        self.drop_expired(now);
         let known = self.reported.entry(process).or_default();
         for (suspect, count) in counts {
             let highest = known.entry(suspect).or_insert((0, now));
             let new = count.saturating_sub(highest.0);
-            *highest = (highest.0 + new, now);
-            if new > 0 {
-                let crashes = self.crashes.entry(suspect).or_insert((0, now));
-                *crashes = (crashes.0 + new, now);
+            if new == 0 {
+                continue;
             }
+            *highest = (count, now);
+            let crashes = self.crashes.entry(suspect).or_insert((0, now));
+            *crashes = (crashes.0 + new, now);
         }
         drop_oldest(known, MAX_REPORTED_COUNT);
         self.update_refused(now)
@@ -120,12 +122,8 @@
     /// refuse, those with the latest crashes first. Returns newly refused
     /// ones.
     pub(crate) fn update_refused(&mut self, now: Millis) -> Vec<Fingerprint> {
-        self.crashes.retain(|_, c| now.since(c.1) < QUARANTINE_MS);
+        self.drop_expired(now);
         drop_oldest(&mut self.crashes, MAX_TRACKED_COUNT);
-        self.reported.retain(|_, known| {
-            known.retain(|_, c| now.since(c.1) < QUARANTINE_MS);
-            !known.is_empty()
-        });
         let mut harmful: Vec<(Millis, Fingerprint)> = self
             .crashes
             .iter()
@@ -146,6 +144,17 @@
         self.refused = refused;
         new
     }
+
+    /// Forgets crashes whose time is over.
+    fn drop_expired(&mut self, now: Millis) {
+        let counts =
+            |count: &(u32, Millis)| now.since(count.1) < QUARANTINE_MS;
+        self.crashes.retain(|_, count| counts(count));
+        for known in self.reported.values_mut() {
+            known.retain(|_, count| counts(count));
+        }
+        self.reported.retain(|_, known| !known.is_empty());
+    }
 }
 
 /// Forgets the earliest entries beyond `max_len`.
--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -89,6 +89,23 @@
     assert_eq!(refusal_reason(&mut harness), None);
 }
 
+/// Guards against a crash that is not counted since one before it, which no
+/// longer counts, was reported again in the meantime.
+#[test]
+fn a_crash_counts_after_the_one_before_it_has_expired() {
+    let mut harness = Harness::new();
+    harness.fingerprint = Some(HARMFUL);
+    harness.gossip_with(1, "k", &[HARMFUL]);
+    harness.now += 300_000;
+    harness.gossip_with(1, "k", &[HARMFUL]);
+    harness.now += 301_000;
+    for index in 1..=3 {
+        assert_eq!(refusal_reason(&mut harness), None, "before {index}");
+        harness.gossip_with(index, "k", &[HARMFUL]);
+    }
+    assert_eq!(refusal_reason(&mut harness), Some(Reason::Poisoned));
+}
+
 /// Guards against a frequent harmless request that is refused since it was
 /// running at several crashes.
 #[test]
