--- a/crates/core/src/fleet/peer_sync.rs
+++ b/crates/core/src/fleet/peer_sync.rs
@@ -118,6 +118,7 @@
             return;
         }
         let crashes = &mut self.requests.crashes;
+        // It has missed reports while it was away.
         if !heard {
             crashes.complete_next_report();
         }
