Name the time for which crashes are remembered once in fleets

The crashes of the local upstream count for as long as those that the tracker has from others; both had a constant of 600 s. The tracker's is used now. No change of behaviour; 117 tests of the fleet pass.

--- a/crates/core/src/fleet/local_crashes.rs
+++ b/crates/core/src/fleet/local_crashes.rs
@@ -14,15 +14,13 @@
 
 use crate::clock::Millis;
 use crate::id::Fingerprint;
+use crate::request::poison_tracker::QUARANTINE_MS;
 use crate::request::recent_answers::RecentAnswers;
 
 /// Number of crashes of the local upstream after which this node refuses a
 /// request, whatever other nodes have counted.
 const LOCAL_LIMIT_COUNT: u32 = 2;
 
-/// How long a crash counts against its suspects.
-const CRASH_RETENTION_MS: u64 = 600_000;
-
 /// How long the suspects of a crash are reported in each datagram.
 const REPORT_PERIOD_MS: u64 = 10_000;
 
@@ -192,7 +190,7 @@
 impl CrashCount {
     /// Whether the crashes still count.
     fn counts_at(&self, now: Millis) -> bool {
-        now.since(self.latest) <= CRASH_RETENTION_MS
+        now.since(self.latest) <= QUARANTINE_MS
     }
 }
 
