Drop expired crashes once for each report

Since reports drop them before they are counted, selecting what to refuse walked the same tables again, for each datagram that names a suspect.

--- a/crates/core/src/request/poison_tracker.rs
+++ b/crates/core/src/request/poison_tracker.rs
@@ -67,10 +67,10 @@
         for &suspect in suspects {
             *counts.entry(suspect).or_default() += 1;
         }
+        self.drop_expired(now);
         if counts.is_empty() {
-            return self.update_refused(now);
+            return self.select_refused();
         }
-        self.drop_expired(now);
         let known = self.reported.entry(process).or_default();
         for (suspect, count) in counts {
             let highest = known.entry(suspect).or_insert((0, now));
@@ -83,7 +83,7 @@
             *crashes = (crashes.0 + new, now);
         }
         drop_oldest(known, MAX_REPORTED_COUNT);
-        self.update_refused(now)
+        self.select_refused()
     }
 
     /// Counts one crash for each of these requests. Returns newly refused
@@ -119,10 +119,15 @@
     }
 
     /// Forgets crashes whose time is over and selects the fingerprints to
-    /// refuse, those with the latest crashes first. Returns newly refused
-    /// ones.
+    /// refuse. Returns newly refused ones.
     pub(crate) fn update_refused(&mut self, now: Millis) -> Vec<Fingerprint> {
         self.drop_expired(now);
+        self.select_refused()
+    }
+
+    /// Selects the fingerprints to refuse, those with the latest crashes
+    /// first. Returns newly refused ones.
+    fn select_refused(&mut self) -> Vec<Fingerprint> {
         drop_oldest(&mut self.crashes, MAX_TRACKED_COUNT);
         let mut harmful: Vec<(Millis, Fingerprint)> = self
             .crashes
