Give no address to two deployments that start at the same time

Cause, by reading: all soaks use the loopback addresses 127.0.0.2 and up. Each asked the kernel for free ports, closed them, and let its nodes bind them one after the other later. In between the kernel gives the same port to another soak, whose node then ends with "address in use". Which port it was is not on record, as the program's standard error was discarded.

Change: deployments get their ports from the same counter as free_addr. The port for gossip is checked on the addresses of the VMs that use it; stop.rs checked that of VM 0 for every VM.

--- a/crates/lagoondyked/tests/stop.rs
+++ b/crates/lagoondyked/tests/stop.rs
@@ -8,7 +8,7 @@
 
 use http::Method;
 use lagoondyke_platform_standin::deployment::{
-    Addresses, configuration, free_udp_port, headers,
+    Addresses, configuration, free_gossip_port, headers,
 };
 use lagoondyke_platform_standin::store::Store;
 use lagoondyke_platform_standin::upstream::{History, Options, Upstream};
@@ -124,7 +124,7 @@
         padding_bytes: padding,
     };
     Upstream::start(options.clone(), &history).expect("upstream");
-    let gossip = free_udp_port(1).expect("a port");
+    let gossip = free_gossip_port(index..index + 1).expect("a port");
     let text = addresses.settings(index, gossip, &options, store_addr);
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
     let file = folder.join(format!("stop-{index}.jsonc"));
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::ffi::OsStr;
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -208,6 +208,18 @@
 ///
 /// Returns an error if no port is free.
 pub fn free_addr() -> io::Result<SocketAddr> {
+    let ip = Ipv4Addr::LOCALHOST;
+    Ok(SocketAddr::from((ip, free_port(&[ip])?)))
+}
+
+/// Returns a port that was free for TCP and UDP on each of the given loopback
+/// addresses when it was checked. The ports are those of [`free_addr`]: one
+/// that this returns is not returned for other addresses either.
+///
+/// # Errors
+///
+/// Returns an error if no port is free on all addresses.
+pub fn free_port(ips: &[Ipv4Addr]) -> io::Result<u16> {
     // Spread the first ports of processes that run at the same time, so that
     // they do not return the same ones.
     let offset = (std::process::id().wrapping_mul(977)) as u16;
@@ -215,9 +227,12 @@
     for _ in 0..PORT_COUNT {
         let index = NEXT_PORT_INDEX.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + offset.wrapping_add(index) % PORT_COUNT;
-        let addr = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
-            return Ok(addr);
+        let is_free = |ip: &Ipv4Addr| {
+            let addr = (*ip, port);
+            TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok()
+        };
+        if ips.iter().all(is_free) {
+            return Ok(port);
         }
     }
     Err(io::Error::new(io::ErrorKind::AddrInUse, "no port is free"))
