Show the error message of a program that a test could not start

It goes to a file in memory now, and into the error of a program that ends before it accepts connections. A pipe was ruled out: a program that writes more than the pipe holds would be blocked.

a_program_that_ends_early_leaves_its_error_message failed before and passes.

--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -1,8 +1,10 @@
 //! Child processes of tests and experiments, and free ports for them.
 
 use std::ffi::OsStr;
-use std::io;
+use std::fs::File;
+use std::io::{self, Read, Seek};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::fd::FromRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -22,9 +24,10 @@
 
 impl Process {
     /// Starts the program at `path` and waits until `addr` accepts
-    /// connections. Its standard output is discarded. So is its standard
-    /// error, unless the environment variable `LAGOONDYKE_OUTPUT` is set:
-    /// then it goes to the standard error of this process.
+    /// connections. Its standard output is discarded. Its standard error goes
+    /// to that of this process if the environment variable `LAGOONDYKE_OUTPUT`
+    /// is set; otherwise it is only shown in the error of a program that ends
+    /// early.
     ///
     /// # Errors
     ///
@@ -45,8 +48,13 @@
         }
         let mut command = Command::new(path);
         command.args(args).stdin(Stdio::null()).stdout(Stdio::null());
+        // A file rather than a pipe: a program is not blocked when nobody
+        // reads what it writes.
+        let mut stderr = None;
         if std::env::var_os("LAGOONDYKE_OUTPUT").is_none() {
-            command.stderr(Stdio::null());
+            let file = memory_file()?;
+            command.stderr(file.try_clone()?);
+            stderr = Some(file);
         }
         set_death_signal(&mut command);
         let fork_guard = lock_forks();
@@ -55,7 +63,7 @@
         })?;
         drop(fork_guard);
         let mut process = Self { child };
-        process.wait_for_port(path, addr, timeout)?;
+        process.wait_for_port(path, addr, timeout, stderr)?;
         Ok(process)
     }
 
@@ -64,13 +72,16 @@
         path: &Path,
         addr: SocketAddr,
         timeout: Duration,
+        stderr: Option<File>,
     ) -> io::Result<()> {
         let start = Instant::now();
         loop {
             if let Some(status) = self.child.try_wait()? {
+                let output = stderr.map_or(Ok(String::new()), read_all)?;
                 return Err(io::Error::other(format!(
-                    "{} exited before it accepted connections: {status}",
-                    path.display()
+                    "{} exited before it accepted connections: {status} {}",
+                    path.display(),
+                    output.trim_end()
                 )));
             }
             if TcpStream::connect_timeout(&addr, timeout).is_ok() {
@@ -155,6 +166,27 @@
     }
 }
 
+/// Creates an empty file in memory. No child inherits it unless it is passed
+/// on.
+fn memory_file() -> io::Result<File> {
+    // SAFETY: the name is a valid C string, which the kernel copies.
+    let fd =
+        unsafe { libc::memfd_create(c"stderr".as_ptr(), libc::MFD_CLOEXEC) };
+    if fd < 0 {
+        return Err(io::Error::last_os_error());
+    }
+    // SAFETY: the descriptor was just created and has no other owner.
+    Ok(unsafe { File::from_raw_fd(fd) })
+}
+
+/// Reads a file from its beginning. Bytes that are not UTF-8 are replaced.
+fn read_all(mut file: File) -> io::Result<String> {
+    let mut bytes = Vec::new();
+    file.rewind()?;
+    file.read_to_end(&mut bytes)?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
 /// Has the kernel kill the child when the thread that started it ends, so
 /// that a killed test leaves no processes behind.
 fn set_death_signal(command: &mut Command) {
--- a/crates/standin/tests/process.rs
+++ b/crates/standin/tests/process.rs
@@ -51,3 +51,16 @@
         Process::start(Path::new("/bin/true"), no_args, addr, timeout);
     assert!(started.is_err(), "true accepts no connections");
 }
+
+/// Guards against a start that fails without a trace of its cause.
+#[test]
+fn a_program_that_ends_early_leaves_its_error_message() {
+    let addr = free_addr().expect("an address");
+    let script = ["-c", "echo no such settings >&2; exit 3"];
+    let timeout = Duration::from_secs(10);
+    let error = Process::start(Path::new("/bin/sh"), script, addr, timeout)
+        .expect_err("the program ends")
+        .to_string();
+    assert!(error.contains("no such settings"), "{error}");
+    assert!(error.contains("exit status: 3"), "{error}");
+}
