Groups: drop a late second copy of an answer

Operators of similar systems reported that a server sent a second copy of an answer late, on a connection that was in use again, and that the next caller got it. In fleets answers name their request. In groups it can happen: a connection is checked before it is used again, but a copy that arrives while the next request runs was taken for its answer.

Ruled out: a new connection for each request (at the rates of CAPACITY.md the ports that wait for their reuse run out), and a pause before reuse (the copy may come later). X-Request-Id is not used, as servers replace it by their own.

Change: requests to upstreams name themselves in Lagoondyke-Request. An answer that names another one is dropped, up to three; then the request counts as lost, as in fleets. The stand-in repeats it.

a_second_copy_of_an_answer_is_no_answer_to_the_next_request (contract tests of node) failed before: the second caller got the answer "1" instead of "2".

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, StatusCode};
 
+use crate::message::REQUEST_HEADER;
 use crate::wire::{
     Conn, Framing, WireError, keeps_alive, put_number, response_framing,
 };
@@ -11,6 +12,10 @@
 /// one write. Copying a larger one costs more than a second write.
 pub const MAX_COPIED_BYTES: usize = 16 * 1024;
 
+/// Number of answers to earlier requests that are dropped before the request
+/// counts as lost.
+const MAX_STALE_ANSWER_COUNT: usize = 3;
+
 /// A complete response.
 #[derive(Debug)]
 pub struct Response {
@@ -81,6 +86,34 @@
     receive(conn, method, limit).await
 }
 
+/// Like [`exchange`], but names the request in the header
+/// [`REQUEST_HEADER`]. Drops answers that name another request: an upstream
+/// may repeat an answer late, when its connection is in use again. An answer
+/// that names no request is taken.
+///
+/// # Errors
+///
+/// Returns an error that says whether the request may have arrived.
+pub async fn named_exchange(
+    conn: &mut Conn,
+    id: u64,
+    method: &Method,
+    body: Bytes,
+    limit: usize,
+) -> Result<Response, ExchangeError> {
+    put_number(conn.out(), REQUEST_HEADER.as_str(), id);
+    let id = id.to_string();
+    let mut response = exchange(conn, method, body, limit).await?;
+    for _ in 0..MAX_STALE_ANSWER_COUNT {
+        let named = response.headers.get(REQUEST_HEADER);
+        if named.is_none_or(|named| named.as_bytes() == id.as_bytes()) {
+            return Ok(response);
+        }
+        response = receive(conn, method, limit).await?;
+    }
+    Err(ExchangeError::Lost)
+}
+
 /// Reads the response to a request that has been sent.
 ///
 /// # Errors
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -28,6 +28,10 @@
 /// Request header for the upstream: number of the key's shard.
 pub const SHARD_HEADER: HeaderName =
     HeaderName::from_static("lagoondyke-shard");
+/// Request header for the upstream, and header of its answer: names the
+/// exchange on its connection. An answer that names another one is dropped.
+pub const REQUEST_HEADER: HeaderName =
+    HeaderName::from_static("lagoondyke-request");
 /// Response header: the node beside the upstream that answered.
 pub const NODE_HEADER: HeaderName = HeaderName::from_static("lagoondyke-node");
 /// Request header: the caller's idempotency key.
@@ -173,6 +177,7 @@
             | "lagoondyke-deadline"
             | "lagoondyke-fence"
             | "lagoondyke-node"
+            | "lagoondyke-request"
             | "lagoondyke-shard"
             | "traceparent"
     )
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -26,7 +26,7 @@
 
 use crate::clock;
 use crate::grants::Grants;
-use crate::http::{ExchangeError, Response, exchange, request_line};
+use crate::http::{ExchangeError, Response, named_exchange, request_line};
 use crate::message::{
     Answer, DEADLINE_HEADER, FENCE_HEADER, Reply, SHARD_HEADER,
     TRACEPARENT_HEADER, remove_connection_headers,
@@ -61,6 +61,9 @@
     node: Rc<str>,
     idle: RefCell<Vec<Conn>>,
     permits: Semaphore,
+    /// Id of the last request that was sent, by which its answer is told from
+    /// a late copy of another.
+    last_request: Cell<u64>,
     pub(crate) grants: Grants,
     on_event: RefCell<Option<OnEvent>>,
     /// Whether the upstream is up; `None` before the first probe has ended.
@@ -93,6 +96,7 @@
             node: node.into(),
             idle: RefCell::default(),
             permits: Semaphore::new(usize::from(limit)),
+            last_request: Cell::new(0),
             grants: Grants::new(settings.addr),
             on_event: RefCell::default(),
             up: Cell::new(None),
@@ -172,7 +176,11 @@
             let (mut conn, is_new) = self.connect().await?;
             self.put_head(dispatch, conn.out());
             let (method, body) = (&call.method, call.body.clone());
-            match exchange(&mut conn, method, body, MAX_BODY_BYTES).await {
+            let id = self.last_request.get() + 1;
+            self.last_request.set(id);
+            match named_exchange(&mut conn, id, method, body, MAX_BODY_BYTES)
+                .await
+            {
                 Ok(response) => {
                     if response.keep_alive {
                         self.idle.borrow_mut().push(conn);
--- a/crates/node/tests/contract/upstream.rs
+++ b/crates/node/tests/contract/upstream.rs
@@ -127,6 +127,45 @@
     }
 }
 
+/// Guards against a caller that gets the answer to another request: an
+/// upstream writes a second copy of an answer late, on a connection that is in
+/// use again.
+#[test]
+fn a_second_copy_of_an_answer_is_no_answer_to_the_next_request() {
+    for copies in 1..=2 {
+        let (addr, thread) = server(move |listener| {
+            let mut stream = accept(&listener);
+            let first = answer_to(&read_http(&mut stream), "1");
+            send(&mut stream, &first);
+            // The connection is in use again by now.
+            let second = answer_to(&read_http(&mut stream), "2");
+            for _ in 0..copies {
+                send(&mut stream, &first);
+            }
+            send(&mut stream, &second);
+        });
+        run(async move {
+            let upstream = upstream(addr);
+            for body in ["1", "2"] {
+                let answer = dispatch(&upstream, None).await;
+                assert_eq!(answer.expect("an answer").body, body, "{copies}");
+            }
+        });
+        thread.join().expect("server");
+    }
+}
+
+/// An answer with this body that names the request with this head.
+fn answer_to(head: &str, body: &str) -> String {
+    let name = "lagoondyke-request: ";
+    let line = head.lines().find(|line| line.starts_with(name));
+    let line = line.unwrap_or("lagoondyke-request: none");
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\n{line}\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
 /// Guards against an upstream that keeps running a request whose caller has
 /// disconnected.
 #[test]
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -659,16 +659,15 @@
         }
         reply
     }
-}
 
-impl Handler for Upstream {
-    async fn handle(&self, call: Call) -> Option<Reply> {
+    /// Answers a request, without the header that names it.
+    async fn reply(&self, call: &Call) -> Reply {
         let path = call.uri.path();
         if path.starts_with("/admin/") {
-            return Some(self.handle_admin(&call));
+            return self.handle_admin(call);
         }
         if path.starts_with("/lagoondyke/") {
-            return Some(self.handle_protocol(&call));
+            return self.handle_protocol(call);
         }
         if let Some(mark) = call.header("x-crash")
             && self.options.crash_on.as_deref() == Some(mark)
@@ -678,15 +677,25 @@
         }
         let reply =
             match parse_number::<u64>(call.header("lagoondyke-deadline")) {
-                None => self.execute(&call).await,
+                None => self.execute(call).await,
                 Some(deadline_ms) => monoio::select! {
-                    reply = self.execute(&call) => reply,
+                    reply = self.execute(call) => reply,
                     () = sleep_ms(deadline_ms) => {
                         Reply::text(StatusCode::GATEWAY_TIMEOUT, "deadline")
                     }
                 },
             };
-        Some(reply.with_header("x-upstream", &self.options.name))
+        reply.with_header("x-upstream", &self.options.name)
+    }
+}
+
+impl Handler for Upstream {
+    async fn handle(&self, call: Call) -> Option<Reply> {
+        let mut reply = self.reply(&call).await;
+        if let Some(id) = call.headers.get("lagoondyke-request") {
+            reply.headers.insert("lagoondyke-request", id.clone());
+        }
+        Some(reply)
     }
 
     async fn accept(&self) -> bool {
