Groups: confirm no grant by a late copy of an earlier answer

The same cause as for requests: answers to grants of fencing tokens named no request. A late second copy of an earlier answer confirmed the next grant, so that requests went out before the upstream had taken their token. The upstream would have rejected them as fenced; no request would have run under a wrong owner.

Change: grants name themselves as requests do.

a_second_copy_of_an_answer_confirms_no_later_grant failed before ("a request went out before its token was installed").

--- a/crates/node/src/grants.rs
+++ b/crates/node/src/grants.rs
@@ -20,7 +20,7 @@
 use serde::Serialize;
 
 use crate::clock;
-use crate::http::{exchange, request_line};
+use crate::http::{named_exchange, request_line};
 use crate::wire::{Conn, put_header};
 
 /// Time for the upstream to accept a grant.
@@ -56,6 +56,8 @@
     /// Whether the task that sends grants is running.
     sending: Cell<bool>,
     conn: RefCell<Option<Conn>>,
+    /// Id of the last request on `conn`.
+    last_request: Cell<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -82,6 +84,7 @@
                 waiters: RefCell::default(),
                 sending: Cell::new(false),
                 conn: RefCell::default(),
+                last_request: Cell::new(0),
             }),
         }
     }
@@ -176,7 +179,10 @@
         request_line(out, &put, "/lagoondyke/grants");
         put_header(out, "host", self.addr.to_string().as_bytes());
         put_header(out, "content-type", b"application/json");
-        let response = exchange(&mut conn, &put, body, MAX_ANSWER_BYTES).await;
+        let id = self.last_request.get() + 1;
+        self.last_request.set(id);
+        let response =
+            named_exchange(&mut conn, id, &put, body, MAX_ANSWER_BYTES).await;
         let response = response.ok()?;
         if response.keep_alive {
             *self.conn.borrow_mut() = Some(conn);
--- a/crates/node/tests/contract/upstream.rs
+++ b/crates/node/tests/contract/upstream.rs
@@ -218,6 +218,40 @@
     assert!(seen[1].starts_with("post /x"));
 }
 
+/// Guards against a fencing token that counts as installed although the
+/// upstream has not taken it: a late second copy of the answer to a grant is
+/// taken for the answer to the next one.
+#[test]
+fn a_second_copy_of_an_answer_confirms_no_later_grant() {
+    let (seen_sender, seen) = mpsc::channel();
+    let (addr, thread) = server(move |listener| {
+        let mut grants = accept(&listener);
+        let first = answer_to(&read_http(&mut grants), "");
+        send(&mut grants, &first);
+        let second = answer_to(&read_http(&mut grants), "");
+        send(&mut grants, &first);
+        listener.set_nonblocking(true).expect("a listener");
+        std::thread::sleep(std::time::Duration::from_millis(200));
+        seen_sender.send(listener.accept().is_ok()).expect("send");
+        send(&mut grants, &second);
+    });
+    run(async {
+        let upstream = upstream(addr);
+        for sequence in [8, 9] {
+            let fence = Fence { epoch: Epoch(3), sequence };
+            upstream.grant(vec![(Shard(7), fence)], far_deadline());
+            let pause = std::time::Duration::from_millis(50);
+            monoio::time::sleep(pause).await;
+        }
+        let run = dispatch(&upstream, Some(9));
+        let time_limit = std::time::Duration::from_millis(500);
+        let _ = monoio::time::timeout(time_limit, run).await;
+    });
+    let is_sent = seen.recv().expect("seen");
+    assert!(!is_sent, "a request went out before its token was installed");
+    thread.join().expect("server");
+}
+
 fn crash_on_request(listener: TcpListener) -> SocketAddr {
     let addr = listener.local_addr().expect("address");
     let mut stream = accept(&listener);
