Keep across a restart of a node that its upstream is leaving

Operators of similar systems reported that a server that had left was in use again after a restart of one of the system's processes.

Ruled out: asking peers (gossip says that a node takes no requests, not which upstream is leaving, and peers drop it with the earlier process); holding the acknowledgement back for the store (upstreams would wait in an outage).

Change: the node's record in the store names the instance that is leaving. It is written as soon as that is known, one write for each upstream that leaves. A new process reads its record before its first renewal, as before, and sends that instance nothing, whether it hears of the upstream before or after. The next instance is another one, even with the same name.

an_upstream_that_left_is_not_used_after_a_restart_of_the_node failed before (no record is written when the upstream leaves) and passes.

--- a/crates/core/src/fleet/lease.rs
+++ b/crates/core/src/fleet/lease.rs
@@ -23,6 +23,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
+use crate::fleet::table::Instance;
 use crate::id::Fingerprint;
 
 /// Duration of a lease. Long enough to survive a store outage of 4.5 s, a
@@ -87,6 +88,10 @@
     /// nodes.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub harmful: Vec<HarmfulRequest>,
+    /// The upstream, if it is leaving: a later process of the node must not
+    /// send it requests, even if it announces itself as ready.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub leaving: Option<Instance>,
 }
 
 /// A request that crashes upstreams.
--- a/crates/core/src/fleet/renewal.rs
+++ b/crates/core/src/fleet/renewal.rs
@@ -12,13 +12,14 @@
     RENEWAL_INTERVAL_MS, RENEWAL_RETRY_MS, Record,
 };
 use crate::fleet::reducer::Fleet;
+use crate::fleet::table::Instance;
 
 /// While the store does not answer this node, one in this many calls still
 /// goes to the store directly instead of through a peer.
 const CALLS_PER_DIRECT_COUNT: u32 = 3;
 
 /// State of lease renewal.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Renewal {
     pub(super) pending: bool,
     pub(super) sent: Millis,
@@ -29,16 +30,26 @@
     pub(super) calls: u32,
     /// Whether this process has read or written its record in the store.
     pub(super) record_known: bool,
+    /// The leaving upstream that the last record names.
+    pub(super) recorded_leaving: Option<Instance>,
 }
 
 impl Fleet {
     pub(super) fn renew(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        if self.renewal.pending || now < self.renewal.due {
+        let leaving = self.upstream.leaving_instance().cloned();
+        // The upstream may serve for a while after it has reported its exit,
+        // and this process may be restarted before the renewal that is due.
+        let is_unrecorded = self.renewal.record_known
+            && leaving.is_some()
+            && self.renewal.recorded_leaving != leaving;
+        let at_once = is_unrecorded && self.renewal.failures == 0;
+        if self.renewal.pending || now < self.renewal.due && !at_once {
             return;
         }
         let idle = self.needs_no_lease()
             && self.term > 0
-            && !self.requests.crashes.is_unrecorded();
+            && !self.requests.crashes.is_unrecorded()
+            && !is_unrecorded;
         if idle && now < self.renewal.sent.plus(RENEWAL_INTERVAL_IDLE_MS) {
             return;
         }
@@ -52,6 +63,7 @@
         }
         self.renewal_count += 1;
         self.requests.crashes.set_recorded();
+        self.renewal.recorded_leaving.clone_from(&leaving);
         let value = Value::Node(Record {
             incarnation: self.incarnation,
             count: self.renewal_count,
@@ -60,6 +72,7 @@
             service: self.settings.service.clone(),
             revoked: false,
             harmful: self.requests.crashes.recorded(now),
+            leaving,
         });
         let expect = self.lease.revision;
         let op = Op::Update { kind, name, expect, value };
@@ -136,6 +149,7 @@
                 let pause = RENEWAL_RETRY_MS << failures.min(8);
                 self.renewal.due = now.plus(pause.min(MAX_RENEWAL_RETRY_MS));
                 self.renewal.failures = failures + 1;
+                self.renewal.recorded_leaving = None;
             }
         }
     }
@@ -156,6 +170,7 @@
             if let Some(Value::Node(record)) = &item.value {
                 let crashes = &mut self.requests.crashes;
                 crashes.adopt_record(&record.harmful, now);
+                self.adopt_leaving(record.leaving.as_ref(), now, out);
             }
             self.renewal.record_known = true;
             self.lease.revision = item.revision;
@@ -175,6 +190,22 @@
         }
     }
 
+    /// Applies which upstream was leaving at an earlier process of the node.
+    fn adopt_leaving(
+        &mut self,
+        instance: Option<&Instance>,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(instance) = instance else { return };
+        let was_leaving = self.upstream.is_leaving();
+        self.upstream.set_left_earlier(instance.clone(), now);
+        if self.upstream.is_leaving() && !was_leaving {
+            self.on_upstream_leaving(now, out);
+            self.refuse_queued(now, out);
+        }
+    }
+
     /// Whether the node needs no lease because its service is not partitioned
     /// by key.
     fn needs_no_lease(&self) -> bool {
--- a/crates/core/src/fleet/upstream.rs
+++ b/crates/core/src/fleet/upstream.rs
@@ -194,6 +194,9 @@
     /// Name of an upstream that reported its exit before this process had an
     /// announcement of it, and when.
     left_unknown: Option<(String, Millis)>,
+    /// The upstream that was leaving at an earlier process of this node, before
+    /// the first announcement to this one.
+    left_earlier: Option<Instance>,
     /// Whether it was leaving before this process first heard of it, so that
     /// the process cannot know since when.
     leaving_at_start: bool,
@@ -230,6 +233,7 @@
             phase: Phase::Ready,
             leaving: None,
             left_unknown: None,
+            left_earlier: None,
             leaving_at_start: false,
             slots: 0,
             sequence: 0,
@@ -256,12 +260,19 @@
             Recency::NewInstance => {
                 // The earlier instance has ended: the new one uses its
                 // address.
-                self.leaving_at_start = self.instance.is_none()
-                    && announcement.phase != Phase::Ready;
-                self.instance = Some(announcement.instance.clone());
+                let instance = &announcement.instance;
+                let left_earlier =
+                    self.left_earlier.take().as_ref() == Some(instance);
+                self.leaving_at_start = left_earlier
+                    || self.instance.is_none()
+                        && announcement.phase != Phase::Ready;
+                self.instance = Some(instance.clone());
                 self.instance_since = now;
                 self.phase = Phase::Ready;
                 self.leaving = self.left_before(announcement);
+                if left_earlier {
+                    self.leaving.get_or_insert(now);
+                }
                 self.rate_limit = None;
                 self.holdings.clear();
                 self.released.clear();
@@ -388,6 +399,27 @@
         (same && announcement.sequence > 1).then_some(at)
     }
 
+    /// Records that this instance was leaving at an earlier process of the
+    /// node. Such an instance does not come back.
+    pub fn set_left_earlier(&mut self, instance: Instance, now: Millis) {
+        match &self.instance {
+            None => self.left_earlier = Some(instance),
+            Some(known) if *known == instance && !self.is_leaving() => {
+                self.leaving_at_start = true;
+                self.leaving = Some(now);
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// The instance that is known to be leaving, also from an earlier process
+    /// of the node.
+    #[must_use]
+    pub fn leaving_instance(&self) -> Option<&Instance> {
+        let leaving = self.instance.as_ref().filter(|_| self.is_leaving());
+        leaving.or(self.left_earlier.as_ref())
+    }
+
     /// Records that the upstream refused a connection.
     pub fn set_unreachable(&mut self) {
         self.down = true;
--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -1,10 +1,8 @@
 //! Requests that crash upstreams are recognized wherever they return, and are
 //! sent to no further upstream.
 
-use lagoondyke_core::fleet::effect::{Effect, Notice, Op};
-use lagoondyke_core::fleet::event::{
-    Call, Event, Item, Outcome, StoreOutcome,
-};
+use lagoondyke_core::fleet::effect::{Effect, Notice};
+use lagoondyke_core::fleet::event::{Event, Outcome};
 use lagoondyke_core::fleet::gossip::MAX_GOSSIP_BYTES;
 use lagoondyke_core::fleet::upstream::Phase;
 use lagoondyke_core::id::{Fingerprint, Ticket};
@@ -198,27 +196,9 @@
 #[test]
 fn a_fleet_that_restarts_as_a_whole_knows_harmful_requests() {
     let mut before = told_of_three_crashes();
-    let mut record = None;
-    for revision in 10..60 {
-        before.now += 100;
-        for effect in before.step(Event::Tick) {
-            let Effect::Store { call, op } = effect else { continue };
-            let outcome = match (&call, op) {
-                (Call::ReadRecord, _) => StoreOutcome::Missing,
-                (Call::Renew, Op::Update { name, value, .. }) => {
-                    let value = Some(value);
-                    record = Some(Item { name, revision, value });
-                    StoreOutcome::Done(record.clone().expect("just set"))
-                }
-                _ => continue,
-            };
-            before.step(Event::StoreDone { call, outcome });
-        }
-    }
+    let record = before.written_record(5_000);
     let mut harness = Harness::with_incarnation(2);
-    let outcome = StoreOutcome::Done(record.expect("the lease is renewed"));
-    let call = Call::ReadRecord;
-    harness.step(Event::StoreDone { call, outcome });
+    harness.read_record(record);
     harness.fingerprint = Some(HARMFUL);
     assert_eq!(refusal_reason(&mut harness), Some(Reason::Poisoned));
     let told = reported_suspects(&mut harness);
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -81,6 +81,37 @@
         out
     }
 
+    /// The last record that the node writes to the store in this time, in
+    /// which the store answers its calls for the record.
+    pub fn written_record(&mut self, ms: u64) -> Item {
+        let mut record = None;
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 100;
+            for effect in self.step(Event::Tick) {
+                let Effect::Store { call, op } = effect else { continue };
+                let outcome = match (&call, op) {
+                    (Call::ReadRecord, _) => StoreOutcome::Missing,
+                    (Call::Renew, Op::Update { name, value, .. }) => {
+                        let (revision, value) = (self.now, Some(value));
+                        let item = Item { name, revision, value };
+                        record = Some(item.clone());
+                        StoreOutcome::Done(item)
+                    }
+                    _ => continue,
+                };
+                self.step(Event::StoreDone { call, outcome });
+            }
+        }
+        record.expect("the record is written")
+    }
+
+    /// The node reads this record, which an earlier process has written.
+    pub fn read_record(&mut self, record: Item) -> Vec<Effect> {
+        let outcome = StoreOutcome::Done(record);
+        self.step(Event::StoreDone { call: Call::ReadRecord, outcome })
+    }
+
     pub fn gossip(&mut self, index: usize, service: &str) -> Vec<Effect> {
         self.gossip_with(index, service, &[])
     }
@@ -766,3 +797,33 @@
         );
     assert_eq!(suspects, Some(vec![Fingerprint(1)]));
 }
+
+/// Guards against an upstream that had left and is in use again after a
+/// restart of its node, as it still announces itself as ready.
+#[test]
+fn an_upstream_that_left_is_not_used_after_a_restart_of_the_node() {
+    for announces_first in [false, true] {
+        let mut before = Harness::new();
+        before.announce(Phase::Ready, 4);
+        before.written_record(2_000);
+        before.step(Event::UpstreamLeft { id: "u0".to_owned() });
+        let record = before.written_record(200);
+        let mut harness = Harness::with_incarnation(2);
+        if announces_first {
+            harness.announce(Phase::Ready, 4);
+        }
+        harness.read_record(record);
+        harness.announce(Phase::Ready, 4);
+        let out = harness.peer_request(0, 5_000);
+        assert_eq!(dispatches(&out), 0, "{announces_first}");
+        // The record that this process writes says the same.
+        let record = harness.written_record(2_000);
+        let mut again = Harness::with_incarnation(3);
+        again.read_record(record);
+        again.announce(Phase::Ready, 4);
+        assert_eq!(dispatches(&again.peer_request(0, 5_000)), 0);
+        // The next instance is another upstream, even with the same name.
+        again.announce_instance("u0", 2);
+        assert_eq!(dispatches(&again.peer_request(0, 5_000)), 1);
+    }
+}
