Accept a route without a time limit to speak of

Report of operators: one malformed message took a whole process down. The fuzz test of the reducer fed gossip and announcements only; it now also gets what the store answers, what peers fetch from each other, and proposals for tables.

It found: a configuration whose route has a timeout within 200 ms of the highest number, which an operator may mean as "no limit". The sum overflowed, which ends a debug build; a release build gave each request of the route almost no time. The sum saturates now. Ruled out as a fix: rejecting the configuration, as one route would hold back all others.

--- a/crates/core/src/fleet/request/ingress.rs
+++ b/crates/core/src/fleet/request/ingress.rs
@@ -94,7 +94,8 @@
                           request has none";
             return Err(Refusal::new(Reason::NoOwner, detail));
         }
-        let time = arrival.budget.min(route.timeout_ms + TIMEOUT_GRACE_MS);
+        let timeout = route.timeout_ms.saturating_add(TIMEOUT_GRACE_MS);
+        let time = arrival.budget.min(timeout);
         let stop_left_ms = self.stop_left_ms(now);
         if stop_left_ms < route.objective_ms {
             return Err(stopping_refusal());
--- a/crates/core/tests/fleet/malformed.rs
+++ b/crates/core/tests/fleet/malformed.rs
@@ -1,9 +1,14 @@
 //! Messages with values that no sound sender produces: they must not end the
 //! process or make it unable to serve.
 
-use lagoondyke_core::fleet::event::{Event, Outcome};
+use lagoondyke_core::fleet::config::{Config, Limits, Route, Service, Target};
+use lagoondyke_core::fleet::event::{
+    Call, Document, Event, Item, ObjectKind, Outcome, StoreOutcome, Value,
+};
 use lagoondyke_core::fleet::gossip::{Gossip, Versions};
-use lagoondyke_core::fleet::table::Instance;
+use lagoondyke_core::fleet::lease::{HarmfulRequest, Record};
+use lagoondyke_core::fleet::proposal::{Proposal, Transfer};
+use lagoondyke_core::fleet::table::{Instance, Share, Table};
 use lagoondyke_core::fleet::upstream::{Announcement, Held, Phase, Released};
 use lagoondyke_core::id::{Fingerprint, Ticket};
 use rand::{Rng, SeedableRng};
@@ -103,6 +108,208 @@
     }
 }
 
+fn float(random: &mut Pcg64Mcg) -> f64 {
+    let values = [0.0, 1.0, 5.0, -1.0, f64::NAN, f64::INFINITY, f64::MAX];
+    values[random.random_range(0..values.len())]
+}
+
+fn name(random: &mut Pcg64Mcg) -> String {
+    ["s", "k", "n0", "n1", "main", ""][random.random_range(0..6)].to_owned()
+}
+
+fn config(random: &mut Pcg64Mcg) -> Config {
+    let mut config = Config { version: number(random), ..Config::default() };
+    for name in ["s", "k"] {
+        let service = Service {
+            keyed: random.random(),
+            connections: number(random) as u32,
+            warmup_rate: float(random),
+            warmup_ms: number(random),
+        };
+        config.services.insert(name.to_owned(), service);
+    }
+    let routes = ["/s/", "/k/", "/", ""].map(|prefix| {
+        let targets = 0..random.random_range(0..3);
+        Route {
+            name: prefix.to_owned(),
+            prefix: prefix.to_owned(),
+            targets: targets
+                .map(|_| Target {
+                    service: name(random),
+                    weight: float(random),
+                })
+                .collect(),
+            idempotent: random.random(),
+            timeout_ms: number(random),
+            objective_ms: number(random),
+            priority: random.random(),
+            attempts: random.random(),
+        }
+    });
+    config.hosts.insert("h".to_owned(), routes.into());
+    config.limits = Limits {
+        head_bytes: number(random) as usize,
+        body_bytes: number(random) as usize,
+        head_ms: number(random),
+        idle_ms: number(random),
+    };
+    config
+}
+
+fn table(random: &mut Pcg64Mcg) -> Table {
+    let shares = ["n0", "n1", "n2"].map(|node| Share {
+        node: node.to_owned(),
+        slots: random.random_range(0..9),
+    });
+    let mut table = Table::proportional(&shares);
+    table.fence = number(random);
+    for _ in 0..random.random_range(0..3) {
+        table.claims.insert(name(random), number(random));
+        let index = random.random_range(0..table.ranges.len());
+        let range = &mut table.ranges[index];
+        match random.random_range(0..6) {
+            0 => range.first = key(random),
+            1 => range.last = key(random),
+            2 => range.fence = number(random),
+            3 => range.instance = Some(instance(random)),
+            4 => range.node = name(random),
+            _ => range.handover = Some(String::new()),
+        }
+    }
+    if random.random_bool(0.1) {
+        table.ranges.pop();
+    }
+    table
+}
+
+fn record(random: &mut Pcg64Mcg) -> Record {
+    let harmful = 0..random.random_range(0..3);
+    Record {
+        incarnation: random.random_range(0..3),
+        count: number(random),
+        gossip: ["10.0.0.2:6", "", "x"][random.random_range(0..3)].to_owned(),
+        domain: "d".to_owned(),
+        service: name(random),
+        revoked: random.random(),
+        harmful: harmful
+            .map(|_| HarmfulRequest {
+                request: Fingerprint(number(random)),
+                left_ms: number(random),
+            })
+            .collect(),
+        leaving: random.random::<bool>().then(|| instance(random)),
+    }
+}
+
+fn item(random: &mut Pcg64Mcg) -> Item {
+    let value = match random.random_range(0..6) {
+        0 => Some(Value::Config(Box::new(config(random)))),
+        1 => Some(Value::Out),
+        2 => Some(Value::Node(record(random))),
+        3 => Some(Value::Table(table(random))),
+        4 => Some(Value::Unusable(String::new())),
+        _ => None,
+    };
+    Item { name: name(random), revision: number(random), value }
+}
+
+fn store_outcome(random: &mut Pcg64Mcg) -> StoreOutcome {
+    let count = random.random_range(0..3);
+    let items: Vec<Item> = (0..count).map(|_| item(random)).collect();
+    let revision = number(random);
+    match random.random_range(0..8) {
+        0 | 1 => StoreOutcome::Listed { items, revision },
+        2 | 3 => StoreOutcome::Changed { items, revision },
+        4 => StoreOutcome::Compacted,
+        5 => StoreOutcome::Done(item(random)),
+        6 => StoreOutcome::Conflict(items.into_iter().next()),
+        _ => StoreOutcome::Unknown,
+    }
+}
+
+fn store_call(random: &mut Pcg64Mcg) -> Call {
+    let kinds = [
+        ObjectKind::Config,
+        ObjectKind::Domains,
+        ObjectKind::Nodes,
+        ObjectKind::Tables,
+    ];
+    let kind = kinds[random.random_range(0..kinds.len())];
+    match random.random_range(0..8) {
+        0 => Call::List(kind),
+        1 => Call::Watch(kind),
+        2 => Call::Renew,
+        3 => Call::ReadRecord,
+        4 => Call::Edit(name(random)),
+        5 => Call::Inspect(name(random)),
+        6 => Call::Revoke(name(random)),
+        _ => Call::Relayed(Box::new(Call::Renew)),
+    }
+}
+
+fn document(random: &mut Pcg64Mcg) -> Document {
+    let revision = number(random);
+    match random.random_range(0..3) {
+        0 => Document::Config(revision, Box::new(config(random))),
+        1 => Document::Domains(revision, ["d".to_owned()].into()),
+        _ => Document::Tables(vec![(name(random), revision, table(random))]),
+    }
+}
+
+fn proposal(random: &mut Pcg64Mcg) -> Proposal {
+    let transfers = 0..random.random_range(0..3);
+    Proposal {
+        node: name(random),
+        term: number(random),
+        instance: random.random::<bool>().then(|| instance(random)),
+        transfers: transfers
+            .map(|_| Transfer {
+                first: key(random),
+                last: key(random),
+                fence: random.random_range(0..3),
+                to: name(random),
+                instance: random.random::<bool>().then(|| instance(random)),
+                handover: random.random::<bool>().then(String::new),
+            })
+            .collect(),
+    }
+}
+
+/// Guards against an answer of the store, a document of the operator or one of
+/// a peer that ends the process.
+#[test]
+fn no_document_ends_the_process() {
+    for seed in 100..160 {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut harness = Harness::new();
+        for count in 0..MESSAGE_COUNT {
+            harness.now += random.random_range(0..300);
+            let ticket = Ticket(1 << 50 | count);
+            harness.step(match random.random_range(0..8) {
+                0..3 => {
+                    let call = store_call(&mut random);
+                    let outcome = store_outcome(&mut random);
+                    Event::StoreDone { call, outcome }
+                }
+                3 => Event::Document(document(&mut random)),
+                4 => Event::Proposal(Box::new(proposal(&mut random))),
+                5 => {
+                    let announcement = Box::new(announcement(&mut random));
+                    Event::Announced { ticket, announcement }
+                }
+                6 => {
+                    let from = settings(random.random_range(1..4));
+                    let gossip = Box::new(gossip(&mut random));
+                    Event::Gossip { from: from.gossip_addr(), gossip }
+                }
+                _ => Event::Tick,
+            });
+            harness.caller_request("/k/", Some(random.random()));
+            harness.caller_request("/s/", None);
+        }
+    }
+}
+
 /// Guards against one malformed message that ends the process: an overflow, a
 /// division by zero or an index out of range.
 #[test]
