Reject a table whose fencing token has no next one

Ruled out: a saturating sum (two owners would have the same token). Change: such a table does not pass the check and is rejected with a log line, as other invalid tables are. The limit is 2^53 - 1, up to which upstreams in any language read JSON numbers exactly; tokens count changes and stay far below.

--- a/crates/core/src/fleet/table.rs
+++ b/crates/core/src/fleet/table.rs
@@ -23,6 +23,10 @@
 /// The highest key.
 pub const MAX_KEY: u16 = u16::MAX;
 
+/// Highest fencing token. Upstreams read tokens from JSON, whose numbers are
+/// exact up to here in most languages.
+pub const MAX_FENCE: u64 = (1 << 53) - 1;
+
 /// One run of an upstream process, from start to exit.
 #[derive(
     Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize,
@@ -157,6 +161,12 @@
         /// The first key of the range.
         key: u16,
     },
+    /// The table's highest fencing token is above [`MAX_FENCE`], so that it
+    /// may have no next one.
+    FenceLimit {
+        /// The table's highest fencing token.
+        fence: u64,
+    },
 }
 
 impl std::fmt::Display for TableError {
@@ -172,6 +182,9 @@
                      table's"
                 )
             }
+            Self::FenceLimit { fence } => {
+                write!(f, "the fencing token {fence} is too high")
+            }
         }
     }
 }
@@ -219,12 +232,15 @@
     }
 
     /// Checks that each key lies in exactly one range and that no fencing
-    /// token exceeds the table's.
+    /// token exceeds the table's, or [`MAX_FENCE`].
     ///
     /// # Errors
     ///
     /// Returns the first error in key order.
     pub fn check(&self) -> Result<(), TableError> {
+        if self.fence > MAX_FENCE {
+            return Err(TableError::FenceLimit { fence: self.fence });
+        }
         let mut next = 0;
         for range in &self.ranges {
             let fits = u32::from(range.first) == next;
--- a/crates/core/tests/fleet/table.rs
+++ b/crates/core/tests/fleet/table.rs
@@ -1,6 +1,8 @@
 //! Tables of key ranges as they are stored.
 
-use lagoondyke_core::fleet::table::{Instance, MAX_KEY, Share, Table};
+use lagoondyke_core::fleet::table::{
+    Instance, MAX_FENCE, MAX_KEY, Share, Table,
+};
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
 
 /// Moves of ranges in a service with 65 upstreams; each adds two ranges to the
@@ -106,3 +108,16 @@
         assert!(table.check().is_err(), "{what}: {table:?}");
     }
 }
+
+/// Guards against a table that cannot be changed: its highest fencing token
+/// has no next one.
+#[test]
+fn a_table_without_a_next_token_does_not_pass_the_check() {
+    let mut table = Table::proportional(&[share("a")]);
+    for (fence, is_valid) in [(MAX_FENCE, true), (u64::MAX, false)] {
+        table.fence = fence;
+        assert_eq!(table.check().is_ok(), is_valid, "{fence}");
+    }
+    table.fence = MAX_FENCE + 1;
+    assert!(table.check().is_err());
+}
