Send a forwarded request again if it is on a silent connection

It may have run, so it is not repeated if it must not run twice; other requests have little time left.

Ruled out: shorter time-outs (do not help requests that must not run twice); asking on each connection before use (a round trip and bytes between domains for each request); the keepalive (1 s is the shortest).

Change: a forwarded request has an id. If nothing is acknowledged between 150 and 300 ms after sending, the node asks the owner's node over a new connection to withdraw it. What is withdrawn is never accepted later, so it may be sent again, at most twice.

Without resending, three of the four tests in contract/forwards.rs fail; they cover the wire, fleet/withdrawal.rs the state, with random orders of copies and withdrawals.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -43,5 +43,6 @@
 mod takeover;
 pub mod upstream;
 pub mod warmup;
+pub mod withdrawal;
 
 pub use reducer::Fleet;
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -13,3 +13,4 @@
 mod support;
 mod table;
 mod upstream;
+mod withdrawal;
--- a/crates/node/src/fleet/message.rs
+++ b/crates/node/src/fleet/message.rs
@@ -16,6 +16,11 @@
 pub const ORDER_HEADER: HeaderName =
     HeaderName::from_static("lagoondyke-order");
 
+/// Header of a request from another node: the id by which the node may
+/// withdraw it, a decimal number.
+pub const FORWARD_HEADER: HeaderName =
+    HeaderName::from_static("lagoondyke-forward");
+
 /// Header of an answer to another node: the load of the upstream, as JSON.
 /// An answer without it is not taken for one of a node.
 pub const LOAD_HEADER: HeaderName = HeaderName::from_static("lagoondyke-load");
--- a/crates/node/src/fleet/notice_log.rs
+++ b/crates/node/src/fleet/notice_log.rs
@@ -6,6 +6,7 @@
 
 use std::cell::Cell;
 use std::fmt;
+use std::net::SocketAddr;
 
 use lagoondyke_core::clock::Millis;
 use lagoondyke_core::fleet::effect::Notice;
@@ -85,6 +86,22 @@
         }
     }
 
+    /// Logs that a forwarded request was withdrawn and sent again, since
+    /// nothing on its connection was acknowledged.
+    pub fn resent(&self, id: &str, to: SocketAddr, count: u32) {
+        if self.take_token() {
+            slog::info!(self.log, "forwarded request sent again";
+                "id" => id, "to" => %to, "count" => count);
+        }
+    }
+
+    /// Logs that a forwarded request has arrived after its withdrawal.
+    pub fn withdrawn(&self, id: &str) {
+        if self.take_token() {
+            slog::info!(self.log, "withdrawn request dropped"; "id" => id);
+        }
+    }
+
     /// Logs a notice of the reducer.
     pub fn log(&self, notice: &Notice) {
         let log = &self.log;
--- a/crates/node/src/fleet/peers.rs
+++ b/crates/node/src/fleet/peers.rs
@@ -1,7 +1,9 @@
 //! The HTTP client for other nodes: forwarded requests, documents, proposals
 //! and store calls.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,18 +14,20 @@
     Document, Load, ObjectKind, Order, Outcome, StoreOutcome,
 };
 use lagoondyke_core::fleet::proposal::Proposal;
+use lagoondyke_core::fleet::withdrawal::MAX_WITHDRAWAL_AGE_MS;
 use lagoondyke_core::verdict::{Reason, Refusal};
 use monoio::time::timeout;
 use serde::de::DeserializeOwned;
 
+use crate::clock;
 use crate::fleet::message::{
-    Answer, Call, INTERNAL_PREFIX, LOAD_HEADER, ORDER_HEADER, REFUSAL_HEADER,
-    Reply,
+    Answer, Call, FORWARD_HEADER, INTERNAL_PREFIX, LOAD_HEADER, ORDER_HEADER,
+    REFUSAL_HEADER, Reply,
 };
-use crate::fleet::pool::Pool;
+use crate::fleet::pool::{Exchange, Pool};
 use crate::http::{ExchangeError, Response, request_line};
 use crate::message::is_passed_on;
-use crate::wire::put_header;
+use crate::wire::{SendQueue, put_header, put_number};
 
 /// Time allowed to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -38,6 +42,17 @@
 /// after which the other node closes it.
 const MAX_IDLE_MS: u64 = 10_000;
 
+/// Interval at which the send queue of a connection is looked at. A connection
+/// whose other side acknowledges nothing from one look to the next is taken
+/// for silent. A lost packet is sent again sooner than after two intervals.
+const SEND_QUEUE_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Number of times that a forwarded request is withdrawn and sent again.
+const MAX_RESEND_COUNT: u32 = 2;
+
+/// Path at which a node is asked to withdraw a forwarded request.
+pub const WITHDRAWALS_PATH: &str = "/lagoondyke/withdrawals";
+
 /// Path at which a node accepts table changes that another one proposes.
 pub const PROPOSALS_PATH: &str = "/lagoondyke/proposals";
 
@@ -51,24 +66,105 @@
 #[derive(Clone, Debug)]
 pub struct PeerClient {
     pool: Pool,
+    /// Id of the next forwarded request. The first one is random, so that ids
+    /// of different processes differ.
+    next_id: Rc<Cell<u64>>,
+}
+
+/// How a forwarded request ended.
+#[derive(Debug)]
+pub struct ForwardResult {
+    /// The answer or refusal for the sender of the request.
+    pub reply: Reply,
+    /// What the reducer needs.
+    pub outcome: Outcome,
+    /// Number of times that the request was withdrawn and sent again.
+    pub resends: u32,
 }
 
 impl Default for PeerClient {
     fn default() -> Self {
-        Self { pool: Pool::new(CONNECT_TIMEOUT, MAX_ANSWER_BYTES) }
+        Self {
+            pool: Pool::new(CONNECT_TIMEOUT, MAX_ANSWER_BYTES),
+            next_id: Rc::new(Cell::new(rand::random())),
+        }
     }
 }
 
 impl PeerClient {
     /// Forwards a request to the owner's node. Dropping the future cancels
     /// the request there.
+    ///
+    /// A connection may have gone silent without an error. A request of which
+    /// nothing is acknowledged is withdrawn over another connection, and sent
+    /// again if it has not arrived.
     pub async fn forward(
         &self,
         to: SocketAddr,
         call: Rc<Call>,
         order: Order,
-    ) -> (Reply, Outcome) {
-        let order = serde_json::to_vec(&order).unwrap_or_default();
+    ) -> ForwardResult {
+        let mut resends = 0;
+        let result = self.try_forward(to, &call, &order, &mut resends).await;
+        let (reply, load) = match result {
+            Ok(response) => {
+                let load = json_header(&response.headers, &LOAD_HEADER);
+                (reply_of(response), load)
+            }
+            Err(error) => (Err(refusal_of(&error)), None),
+        };
+        let result = match &reply {
+            Ok(answer) => Ok(answer.status.as_u16()),
+            Err(refusal) => Err(refusal.clone()),
+        };
+        let outcome = Outcome { result, load, condition: None };
+        ForwardResult { reply, outcome, resends }
+    }
+
+    async fn try_forward(
+        &self,
+        to: SocketAddr,
+        call: &Call,
+        order: &Order,
+        resends: &mut u32,
+    ) -> Result<Response, ExchangeError> {
+        let started = clock::since_boot();
+        loop {
+            let mut exchange = self.pool.open(to, MAX_IDLE_MS).await?;
+            let fresh = exchange.fresh;
+            let age_ms = clock::since_boot().since(started);
+            let order = Order {
+                budget: order.budget.saturating_sub(age_ms),
+                objective: order.objective.saturating_sub(age_ms),
+                ..order.clone()
+            };
+            let may_resend = *resends < MAX_RESEND_COUNT;
+            let sent = self.send(to, call, &order, &mut exchange, may_resend);
+            match sent.await {
+                Sent::Done(Ok(response)) => {
+                    exchange.finish(response.keep_alive);
+                    return Ok(response);
+                }
+                Sent::Done(Err(ExchangeError::Unsent)) if !fresh => {}
+                Sent::Done(Err(error)) => return Err(error),
+                Sent::Withdrawn => *resends += 1,
+            }
+        }
+    }
+
+    /// Sends a request over `exchange`, and withdraws it if the connection
+    /// seems to be silent and `may_resend` is set.
+    async fn send(
+        &self,
+        to: SocketAddr,
+        call: &Call,
+        order: &Order,
+        exchange: &mut Exchange,
+        may_resend: bool,
+    ) -> Sent {
+        let id = self.next_id.get();
+        self.next_id.set(id.wrapping_add(1));
+        let order = serde_json::to_vec(order).unwrap_or_default();
         let head = |out: &mut BytesMut| {
             request_line(out, &call.method, &call.path);
             for (name, value) in &call.headers {
@@ -79,22 +175,50 @@
                 put_header(out, name.as_str(), value.as_bytes());
             }
             put_header(out, ORDER_HEADER.as_str(), &order);
+            put_number(out, FORWARD_HEADER.as_str(), id);
         };
-        let body = call.body.clone();
-        let result =
-            self.pool.call(to, MAX_IDLE_MS, &call.method, body, head).await;
-        let (reply, load) = match result {
-            Ok(response) => {
-                let load = json_header(&response.headers, &LOAD_HEADER);
-                (reply_of(response), load)
-            }
-            Err(error) => (Err(refusal_of(&error)), None),
+        let send_queue = exchange.send_queue().filter(|_| may_resend);
+        let run = exchange.send(&call.method, call.body.clone(), head);
+        let mut run = pin!(run);
+        let Some(send_queue) = send_queue else {
+            return Sent::Done(run.await);
         };
-        let result = match &reply {
-            Ok(answer) => Ok(answer.status.as_u16()),
-            Err(refusal) => Err(refusal.clone()),
+        let sent = clock::since_boot();
+        monoio::select! {
+            result = &mut run => return Sent::Done(result),
+            () = until_stuck(send_queue) => {}
+        }
+        // Idle connections to the node may be silent as well.
+        self.pool.clear(to);
+        monoio::select! {
+            result = &mut run => return Sent::Done(result),
+            withdrawn = self.withdraw(to, id) => {
+                let age_ms = clock::since_boot().since(sent);
+                if withdrawn && age_ms < MAX_WITHDRAWAL_AGE_MS {
+                    return Sent::Withdrawn;
+                }
+            }
+        }
+        Sent::Done(run.await)
+    }
+
+    /// Asks another node to withdraw a forwarded request, over a new
+    /// connection. Returns whether the node has not accepted it and will not
+    /// do so.
+    async fn withdraw(&self, to: SocketAddr, id: u64) -> bool {
+        let call = async {
+            let mut exchange = self.pool.connect(to).await?;
+            let head = |out: &mut BytesMut| {
+                request_line(out, &Method::POST, WITHDRAWALS_PATH);
+                put_header(out, "host", to.to_string().as_bytes());
+            };
+            let body = Bytes::from(id.to_string());
+            let response = exchange.send(&Method::POST, body, head).await?;
+            exchange.finish(response.keep_alive);
+            Ok::<_, ExchangeError>(response.status.is_success())
         };
-        (reply, Outcome { result, load, condition: None })
+        let time_limit = Duration::from_millis(MAX_WITHDRAWAL_AGE_MS);
+        matches!(timeout(time_limit, call).await, Ok(Ok(true)))
     }
 
     /// Fetches a document from another node; `None` on failure.
@@ -147,6 +271,31 @@
     }
 }
 
+/// How the sending of a forwarded request ended.
+enum Sent {
+    /// There is a response, or there will be none.
+    Done(Result<Response, ExchangeError>),
+    /// The request has not arrived and will not be accepted.
+    Withdrawn,
+}
+
+/// Completes once the other side has acknowledged nothing for a while of what
+/// was written; never once all of it has been acknowledged.
+async fn until_stuck(queue: SendQueue) {
+    let mut before = usize::MAX;
+    loop {
+        monoio::time::sleep(SEND_QUEUE_INTERVAL).await;
+        let count = queue.unacknowledged();
+        if count == 0 {
+            return std::future::pending().await;
+        }
+        if count >= before {
+            return;
+        }
+        before = count;
+    }
+}
+
 /// Name of a kind of documents in paths after [`DOCUMENTS_PATH`].
 #[must_use]
 pub fn kind_name(kind: ObjectKind) -> &'static str {
--- a/crates/node/src/fleet/pool.rs
+++ b/crates/node/src/fleet/pool.rs
@@ -15,7 +15,7 @@
 use crate::budget::Budget;
 use crate::clock;
 use crate::http::{ExchangeError, Response, exchange, receive};
-use crate::wire::{Conn, set_option};
+use crate::wire::{Conn, SendQueue, set_option};
 
 /// Largest number of idle connections kept for an address. A connection takes
 /// memory on both sides, and a burst of requests opens many.
@@ -179,6 +179,13 @@
 }
 
 impl Exchange {
+    /// The send queue of the connection's socket; `None` once the exchange has
+    /// finished.
+    #[must_use]
+    pub fn send_queue(&self) -> Option<SendQueue> {
+        self.conn.as_ref().map(Conn::send_queue)
+    }
+
     /// Sends the request and reads a response. `head` appends the request
     /// line and the headers.
     ///
--- a/crates/node/src/fleet/server.rs
+++ b/crates/node/src/fleet/server.rs
@@ -25,12 +25,12 @@
 
 use crate::clock;
 use crate::fleet::message::{
-    Answer, Call, INTERNAL_PREFIX, LOAD_HEADER, ORDER_HEADER, REFUSAL_HEADER,
-    Reply,
+    Answer, Call, FORWARD_HEADER, INTERNAL_PREFIX, LOAD_HEADER, ORDER_HEADER,
+    REFUSAL_HEADER, Reply,
 };
 use crate::fleet::peers::{
-    DOCUMENTS_PATH, PROPOSALS_PATH, STORE_PATH, encode_load, json_header,
-    kind_from_name,
+    DOCUMENTS_PATH, PROPOSALS_PATH, STORE_PATH, WITHDRAWALS_PATH, encode_load,
+    json_header, kind_from_name,
 };
 use crate::fleet::ports::RequestMeta;
 use crate::fleet::shell::{Shell, UnwrittenGuard};
@@ -250,7 +250,15 @@
             );
             return Ok(keep_alive);
         }
+        let forward = match self.source {
+            Source::Peer => json_header(&head.headers, &FORWARD_HEADER),
+            Source::Caller => None,
+        };
         let pending = match self.decode_call(head, body) {
+            Ok(call) if forward.is_some_and(|id| !self.accepts(&call, id)) => {
+                let detail = "the request was withdrawn";
+                Pending::Ready(text_response(StatusCode::CONFLICT, detail))
+            }
             Ok(call) => {
                 let (ticket, reply) = self.shell.submit(call, self.source);
                 self.push_response(
@@ -302,6 +310,9 @@
         {
             return Err(Box::new(self.document(name)));
         }
+        if self.source == Source::Peer && path == WITHDRAWALS_PATH {
+            return Err(Box::new(self.withdrawal(&body)));
+        }
         if self.source == Source::Peer && path == PROPOSALS_PATH {
             return Err(Box::new(self.proposal(&body)));
         }
@@ -337,6 +348,26 @@
         Response { status, headers, body: body.into() }
     }
 
+    /// Whether a forwarded request is to be accepted.
+    fn accepts(&self, call: &Call, id: u64) -> bool {
+        let accepted = self.shell.accept_forward(id);
+        if !accepted {
+            self.shell.notice_log().withdrawn(&call.meta.id);
+        }
+        accepted
+    }
+
+    /// Withdraws a request that another node has forwarded.
+    fn withdrawal(&self, body: &[u8]) -> Response {
+        match serde_json::from_slice(body) {
+            Ok(id) if self.shell.withdraw_forward(id) => {
+                text_response(StatusCode::OK, "")
+            }
+            Ok(_) => text_response(StatusCode::CONFLICT, ""),
+            Err(error) => self.bad_request(&error),
+        }
+    }
+
     /// Accepts changes to a table that another node proposes.
     fn proposal(&self, body: &[u8]) -> Response {
         match serde_json::from_slice(body) {
--- a/crates/node/src/fleet/shell.rs
+++ b/crates/node/src/fleet/shell.rs
@@ -16,6 +16,7 @@
 };
 use lagoondyke_core::fleet::settings::Settings;
 use lagoondyke_core::fleet::upstream::{Announcement, Grant};
+use lagoondyke_core::fleet::withdrawal::Arrivals;
 use lagoondyke_core::id::Ticket;
 use lagoondyke_core::verdict::{Reason, Refusal};
 use local_sync::oneshot::{self, Receiver, Sender};
@@ -64,6 +65,7 @@
     next_ticket: Cell<u64>,
     requests: RefCell<HashMap<Ticket, PendingRequest>>,
     grants: RefCell<HashMap<Ticket, Sender<Grant>>>,
+    arrivals: RefCell<Arrivals>,
     unwritten: Rc<Cell<usize>>,
 }
 
@@ -129,6 +131,7 @@
             next_ticket: Cell::new(1),
             requests: RefCell::default(),
             grants: RefCell::default(),
+            arrivals: RefCell::new(Arrivals::new(clock::since_boot())),
             unwritten: Rc::default(),
         };
         Self { inner: Rc::new(inner) }
@@ -265,6 +268,22 @@
         (ticket, reply)
     }
 
+    /// Records that a forwarded request has arrived. Returns false if it must
+    /// not be accepted, as it has been withdrawn or has arrived before.
+    #[must_use]
+    pub fn accept_forward(&self, id: u64) -> bool {
+        let now = clock::since_boot();
+        self.inner.arrivals.borrow_mut().accept(id, now)
+    }
+
+    /// Withdraws a forwarded request. Returns whether it has not been accepted
+    /// and will not be.
+    #[must_use]
+    pub fn withdraw_forward(&self, id: u64) -> bool {
+        let now = clock::since_boot();
+        self.inner.arrivals.borrow_mut().withdraw(id, now)
+    }
+
     /// Reports that the sender of a request has disconnected. Has no effect
     /// if the request has ended.
     pub fn cancel(&self, ticket: Ticket) {
@@ -449,11 +468,17 @@
             return;
         };
         let shell = self.clone();
+        let id = call.meta.id.clone();
         monoio::spawn(async move {
             let run = shell.inner.peers.forward(to, call, order);
             monoio::select! {
-                (reply, outcome) = run => {
-                    if shell.finish_attempt(ticket, attempt, reply) {
+                result = run => {
+                    if result.resends > 0 {
+                        let resends = result.resends;
+                        shell.inner.notice_log.resent(&id, to, resends);
+                    }
+                    let outcome = result.outcome;
+                    if shell.finish_attempt(ticket, attempt, result.reply) {
                         shell.post(Event::PeerDone { ticket, outcome });
                     }
                 }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -6,7 +6,7 @@
 
 use std::fmt;
 use std::io;
-use std::os::fd::AsRawFd;
+use std::os::fd::{AsRawFd, RawFd};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -128,6 +128,12 @@
         Self::from_stream(stream)
     }
 
+    /// The send queue of the connection's socket.
+    #[must_use]
+    pub fn send_queue(&self) -> SendQueue {
+        SendQueue(self.stream.as_raw_fd())
+    }
+
     /// Makes closing the connection reset it, which discards data that has not
     /// been delivered.
     pub fn reset_on_close(&self) {
@@ -448,6 +454,25 @@
     }
 }
 
+/// The send queue of a connection's socket. Must not outlive the connection.
+#[derive(Clone, Copy, Debug)]
+pub struct SendQueue(RawFd);
+
+impl SendQueue {
+    /// Number of bytes that were written and that the other side's system has
+    /// not acknowledged; 0 if it is unknown.
+    #[must_use]
+    pub fn unacknowledged(self) -> usize {
+        let mut count: libc::c_int = 0;
+        // SAFETY: the call writes one integer. A closed descriptor is an
+        // error, which leaves the count at 0.
+        let code = unsafe {
+            libc::ioctl(self.0, libc::TIOCOUTQ, std::ptr::from_mut(&mut count))
+        };
+        if code == 0 { usize::try_from(count).unwrap_or(0) } else { 0 }
+    }
+}
+
 /// Sets a socket option. Failures are ignored: without the options used here,
 /// a lost connection is only detected later.
 pub(crate) fn set_option<T>(
--- a/crates/node/tests/contract/main.rs
+++ b/crates/node/tests/contract/main.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod common;
+mod forwards;
 mod peer_frames;
 mod store;
 mod upstream;
