Withdraw no request that is still being written

A large upload over a slow link would have been withdrawn and sent again, twice.

Change: the queue is looked at once the request is written as a whole; from then on it only drains. Until then a silent connection ends by the system's time-out, as before. The write and the read of an exchange are separate functions for it.

--- a/crates/node/src/fleet/peers.rs
+++ b/crates/node/src/fleet/peers.rs
@@ -177,13 +177,16 @@
             put_header(out, ORDER_HEADER.as_str(), &order);
             put_number(out, FORWARD_HEADER.as_str(), id);
         };
+        let sent = clock::since_boot();
+        let body = call.body.clone();
+        if let Err(error) = exchange.write(&call.method, body, head).await {
+            return Sent::Done(Err(error));
+        }
         let send_queue = exchange.send_queue().filter(|_| may_resend);
-        let run = exchange.send(&call.method, call.body.clone(), head);
-        let mut run = pin!(run);
+        let mut run = pin!(exchange.receive_next());
         let Some(send_queue) = send_queue else {
             return Sent::Done(run.await);
         };
-        let sent = clock::since_boot();
         monoio::select! {
             result = &mut run => return Sent::Done(result),
             () = until_stuck(send_queue) => {}
@@ -279,8 +282,8 @@
     Withdrawn,
 }
 
-/// Completes once the other side has acknowledged nothing for a while of what
-/// was written; never once all of it has been acknowledged.
+/// Completes once the other side has acknowledged nothing for a while of a
+/// request that was written as a whole; never once it has acknowledged all.
 async fn until_stuck(queue: SendQueue) {
     let mut before = usize::MAX;
     loop {
--- a/crates/node/src/fleet/pool.rs
+++ b/crates/node/src/fleet/pool.rs
@@ -14,7 +14,7 @@
 
 use crate::budget::Budget;
 use crate::clock;
-use crate::http::{ExchangeError, Response, exchange, receive};
+use crate::http::{ExchangeError, Response, receive, send};
 use crate::wire::{Conn, SendQueue, set_option};
 
 /// Largest number of idle connections kept for an address. A connection takes
@@ -198,17 +198,31 @@
         body: Bytes,
         head: impl Fn(&mut BytesMut),
     ) -> Result<Response, ExchangeError> {
-        let limit = self.pool.max_body;
+        self.write(method, body, head).await?;
+        self.receive_next().await
+    }
+
+    /// Sends the request as [`Exchange::send`] does, and reads nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that says whether the request may have arrived.
+    pub async fn write(
+        &mut self,
+        method: &Method,
+        body: Bytes,
+        head: impl Fn(&mut BytesMut),
+    ) -> Result<(), ExchangeError> {
         self.method = method.clone();
         let Some(conn) = &mut self.conn else {
             return Err(ExchangeError::Unsent);
         };
         head(conn.out());
-        exchange(conn, method, body, limit).await
+        send(conn, method, body).await
     }
 
-    /// Reads the next response, if the one before belonged to an earlier
-    /// request.
+    /// Reads the response, or the next one if the one before belonged to an
+    /// earlier request.
     ///
     /// # Errors
     ///
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -64,6 +64,20 @@
     body: Bytes,
     limit: usize,
 ) -> Result<Response, ExchangeError> {
+    send(conn, method, body).await?;
+    receive(conn, method, limit).await
+}
+
+/// Sends a request, as [`exchange`] does. Its response is read by [`receive`].
+///
+/// # Errors
+///
+/// Returns an error that says whether the request may have arrived.
+pub async fn send(
+    conn: &mut Conn,
+    method: &Method,
+    body: Bytes,
+) -> Result<(), ExchangeError> {
     let bodiless = matches!(
         *method,
         Method::GET | Method::HEAD | Method::DELETE | Method::OPTIONS
@@ -83,7 +97,7 @@
     if !copied {
         conn.write(body).await.map_err(|_| ExchangeError::Lost)?;
     }
-    receive(conn, method, limit).await
+    Ok(())
 }
 
 /// Like [`exchange`], but names the request in the header
