--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -224,6 +224,11 @@
         let time = now.since(since) as f64;
         self.mean_ms += MEAN_WEIGHT_RATIO * (time - self.mean_ms);
         self.slow_mean += SLOW_MEAN_WEIGHT_RATIO * (time - self.slow_mean);
+        self.record_outcome(good);
+    }
+
+    /// Counts one more success or failure of the upstream.
+    fn record_outcome(&mut self, good: bool) {
         let good = f64::from(u8::from(good));
         self.success_ratio +=
             SUCCESS_WEIGHT_RATIO * (good - self.success_ratio);
--- a/crates/core/src/fleet/request/owner.rs
+++ b/crates/core/src/fleet/request/owner.rs
@@ -2,8 +2,7 @@
 
 use super::{
     Entry, MIN_TIME_LEFT_RATIO, RETRY_AFTER_DEFAULT_MS, RETRY_AFTER_RANGE_MS,
-    SUCCESS_WEIGHT_RATIO, State, harmful_refusal, log_finding,
-    refusal_with_retry,
+    State, harmful_refusal, log_finding, refusal_with_retry,
 };
 use crate::clock::Millis;
 use crate::fleet::effect::{Effect, Notice};
@@ -253,8 +252,7 @@
             self.requests.end_run();
             let crashes = &mut self.requests.crashes;
             crashes.record_unanswered(request, deadline, now);
-            let good = &mut self.requests.success_ratio;
-            *good -= SUCCESS_WEIGHT_RATIO * *good;
+            self.requests.record_outcome(false);
             out.push(Effect::Abort { ticket });
             let detail = "the upstream does not work on the request";
             let refusal = Refusal::new(Reason::ConnectionLost, detail);
@@ -372,8 +370,7 @@
                     crashes.record_unanswered(request, deadline, now);
                     self.requests.record_run(since, false, now);
                 } else {
-                    let good = &mut self.requests.success_ratio;
-                    *good -= SUCCESS_WEIGHT_RATIO * *good;
+                    self.requests.record_outcome(false);
                 }
             }
         }
