--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -28,6 +28,26 @@
 
 const ZONES: [&str; 4] = ["kalamaria", "ladadika", "toumba", "evosmos"];
 
+/// What the servers of a deployment have in common.
+#[derive(Clone, Copy, Debug)]
+pub struct Sheet {
+    pub slots: usize,
+    pub work_ms: u64,
+    pub idempotent_ms: u64,
+    pub warmup_per_s: f64,
+    /// Whether servers get bodies of over 8 MB.
+    pub large: bool,
+}
+
+/// The coal utility's, as for `weekly-reserve` and `permit-lookup`.
+pub const COAL: Sheet = Sheet {
+    slots: 12,
+    work_ms: 220,
+    idempotent_ms: 55,
+    warmup_per_s: 13.0,
+    large: false,
+};
+
 /// Host name of all routes.
 pub const HOST: &str = "ficu95.example";
 
@@ -55,7 +75,7 @@
     /// which is divided by key if its name begins with `k`.
     pub fn start(
         services: &[&str],
-        work_ms: u64,
+        sheet: Sheet,
         config: Value,
         folder: &Path,
         record: &Rc<Record>,
@@ -99,7 +119,10 @@
                 addr: app,
                 node: control,
                 keyed: service.starts_with('k'),
-                work_ms,
+                large: sheet.large,
+                slots: sheet.slots,
+                work_ms: sheet.work_ms,
+                idempotent_ms: sheet.idempotent_ms,
             };
             let server = Server::start(options, &runs, record)?;
             let (process, server) = (RefCell::default(), RefCell::new(server));
@@ -152,6 +175,13 @@
 }
 
 impl Machine {
+    /// Kills its node's process.
+    pub fn kill_node(&self) {
+        if let Some(mut process) = self.process.take() {
+            let _ = process.kill();
+        }
+    }
+
     /// Starts its node with the command of the deploy file.
     pub fn start_node(&self) -> io::Result<()> {
         let args = [Path::new("--fleet"), &self.settings];
@@ -179,11 +209,11 @@
 
 /// A configuration with an idempotent route `/NAMEi/` and one that is not,
 /// `/NAME/`, to each service.
-pub fn configuration(version: u64, services: &[&str]) -> Value {
+pub fn configuration(version: u64, services: &[&str], sheet: Sheet) -> Value {
     let entry = |name: &&str| {
         json!({"name": name, "health_path": "/healthz",
             "max_connections": 110, "protocol": "h1", "tls": false,
-            "warmup_s": 3.0, "warmup_per_s": 13.0,
+            "warmup_s": 3.0, "warmup_per_s": sheet.warmup_per_s,
             "sharded": name.starts_with('k'), "warm_s": 5.0,
             "grants": "heartbeat"})
     };
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,8 +2,12 @@
 //! in the folder. Ends with 1 if the rule was broken, with 0 if it held, and
 //! with 2 if the case could not run.
 
+mod clients;
 mod fleet;
 mod forged;
+mod large;
+mod leaving;
+mod memory;
 mod owner;
 mod record;
 mod server;
@@ -55,6 +59,8 @@
     record.add(format!("case {name}, trouble {trouble}"));
     let broken = block_on(async {
         match name {
+            "memory" => memory::run(trouble, &settings.0, &record).await,
+            "leaving" => leaving::run(trouble, &settings.0, &record).await,
             "forged" => forged::run(trouble, &settings.0, &record).await,
             _ => Err(std::io::Error::other("no such case")),
         }
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -14,6 +14,7 @@
 use monoio::net::TcpListener;
 use serde_json::{Value, json};
 
+use crate::large;
 use crate::record::Record;
 
 /// Interval between heartbeats.
@@ -25,10 +26,6 @@
 /// Time limit for the answer to a heartbeat.
 const BEAT_TIMEOUT_MS: u64 = 1_000;
 
-/// Requests that run at once, and those that wait beside them.
-pub const SLOTS: usize = 12;
-const QUEUE: usize = 48;
-
 /// Options of a server.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -39,7 +36,13 @@
     /// Where it sends its heartbeats.
     pub node: SocketAddr,
     pub keyed: bool,
+    /// Whether it gets bodies of over 8 MB.
+    pub large: bool,
+    /// Requests that run at once, and a quarter of those that wait.
+    pub slots: usize,
     pub work_ms: u64,
+    /// Time that requests on idempotent routes take.
+    pub idempotent_ms: u64,
 }
 
 /// Keys that a server holds.
@@ -61,6 +64,10 @@
     pub sequence: Cell<u64>,
     up: Cell<bool>,
     draining: Cell<bool>,
+    /// When requests arrived that were not answered with 421.
+    arrivals: RefCell<Vec<u64>>,
+    /// Whether it has reported its exit, after which it sends no heartbeats.
+    left: Cell<bool>,
     pub held: RefCell<Vec<Held>>,
     seen: RefCell<Vec<(u16, u16, u64)>>,
     released: RefCell<Vec<Value>>,
@@ -92,6 +99,8 @@
             sequence: Cell::new(0),
             up: Cell::new(true),
             draining: Cell::new(false),
+            arrivals: RefCell::default(),
+            left: Cell::new(false),
             held: RefCell::default(),
             seen: RefCell::default(),
             released: RefCell::default(),
@@ -101,8 +110,12 @@
         });
         let (http, beats) = (Rc::clone(&server), Rc::clone(&server));
         monoio::spawn(async move {
+            let handler = Rc::new(Http(Rc::clone(&http)));
+            if http.options.large {
+                return large::serve(listener, handler).await;
+            }
             monoio::select! {
-                _ = serve(listener, Rc::new(Http(Rc::clone(&http)))) => {}
+                _ = serve(listener, handler) => {}
                 () = http.until_down() => {}
             }
         });
@@ -125,6 +138,29 @@
         self.draining.set(true);
     }
 
+    /// Has it send no more heartbeats, and returns the body of one that it
+    /// sends now on a slow way.
+    pub fn last_beat(&self) -> Value {
+        self.left.set(true);
+        self.sequence.set(self.sequence.get() + 1);
+        self.beat_body()
+    }
+
+    /// Path of its calls of this name.
+    pub fn call_path(&self, call: &str) -> String {
+        format!("/api/rpc?call=instances.{call}&of={}", self.options.id)
+    }
+
+    /// Number of requests that it runs or has waiting.
+    pub fn places(&self) -> usize {
+        self.places.get()
+    }
+
+    /// When requests arrived that were not answered with 421.
+    pub fn arrivals(&self) -> Vec<u64> {
+        self.arrivals.borrow().clone()
+    }
+
     /// The ranges that it holds now.
     pub fn holds(&self) -> Vec<Held> {
         let now = monotonic_ms();
@@ -140,6 +176,9 @@
 
     async fn beat_repeatedly(&self) {
         while self.up.get() {
+            if self.left.get() {
+                return;
+            }
             let begin = monotonic_ms();
             let releasing = self.beat().await;
             let pause = if releasing { RELEASE_BEAT_MS } else { BEAT_MS };
@@ -156,7 +195,7 @@
         let Options { service, addr, zone, .. } = &self.options;
         json!({
             "service": service, "address": addr.to_string(), "zone": zone,
-            "version": "v1", "capacity": SLOTS, "state": state,
+            "version": "v1", "capacity": self.options.slots, "state": state,
             "warmup_left_ms": 0, "sequence": self.sequence.get(),
             "born": self.born, "holds": holds,
             "released": *self.released.borrow(),
@@ -252,7 +291,25 @@
         self.holds().into_iter().find(fits)
     }
 
+    fn load(&self) -> String {
+        let slots = self.options.slots;
+        let running = self.places.get().min(slots);
+        format!("{running},{},{slots},100", self.places.get() - running)
+    }
+
+    /// Answers a health check, which counts as no request.
+    fn health(&self) -> Reply {
+        let load = self.load();
+        Reply::empty(StatusCode::OK)
+            .with_header("instance-id", &self.options.id)
+            .with_header("warmup-ms", "0")
+            .with_header("server-load", load)
+    }
+
     async fn answer(&self, call: &Call) -> Option<Reply> {
+        if call.uri.path() == "/healthz" {
+            return Some(self.health());
+        }
         let id = call.header("request-id").unwrap_or_default().to_owned();
         let own = self.options.id.as_str();
         let refused = |status: StatusCode| {
@@ -275,7 +332,8 @@
         if self.options.keyed && held.is_none() {
             return refused(StatusCode::MISDIRECTED_REQUEST);
         }
-        if self.places.get() >= SLOTS + QUEUE {
+        self.arrivals.borrow_mut().push(monotonic_ms());
+        if self.places.get() >= 5 * self.options.slots {
             return refused(StatusCode::SERVICE_UNAVAILABLE);
         }
         let _place = Count::take(&self.places);
@@ -285,14 +343,23 @@
         let run = (own.to_owned(), now);
         self.runs.borrow_mut().entry(id.clone()).or_default().push(run);
         self.record.add(format!("server {own} runs {id} key {key:?}"));
-        sleep_ms(self.options.work_ms).await;
-        let load = format!("{},0,{SLOTS},100", self.places.get().min(SLOTS));
+        let idempotent = call.uri.path().ends_with("i/2f");
+        let work = if idempotent {
+            self.options.idempotent_ms
+        } else {
+            self.options.work_ms
+        };
+        sleep_ms(work).await;
+        let load = self.load();
         let text = format!("answer to {id}");
         let reply = Reply::text(StatusCode::OK, text)
             .with_header("request-id", &id)
             .with_header("response-signature", format!("{own}.{id}"))
             .with_header("server-load", load);
-        Some(reply)
+        // A server that is leaving closes its connections.
+        let leaving = self.left.get() || self.draining.get();
+        let close = |reply: Reply| reply.with_header("connection", "close");
+        Some(if leaving { close(reply) } else { reply })
     }
 }
 
