--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -55,7 +55,6 @@
 pub struct Machine {
     pub name: String,
     pub callers: SocketAddr,
-    pub ready: SocketAddr,
     pub control: SocketAddr,
     pub settings: PathBuf,
     pub process: RefCell<Option<Process>>,
@@ -64,7 +63,8 @@
 
 /// A running deployment.
 pub struct Deployment {
-    pub store: Rc<Store>,
+    /// Serves as long as it is kept.
+    _store: Rc<Store>,
     pub machines: Vec<Machine>,
     pub runs: Runs,
     pub record: Rc<Record>,
@@ -126,20 +126,13 @@
             };
             let server = Server::start(options, &runs, record)?;
             let (process, server) = (RefCell::default(), RefCell::new(server));
-            let machine = Machine {
-                name,
-                callers,
-                ready,
-                control,
-                settings,
-                process,
-                server,
-            };
+            let machine =
+                Machine { name, callers, control, settings, process, server };
             machine.start_node()?;
             machines.push(machine);
         }
         let record = Rc::clone(record);
-        Ok(Self { store, machines, runs, record })
+        Ok(Self { _store: store, machines, runs, record })
     }
 
     /// Waits until each machine serves each of `paths`; false if it does not.
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -9,7 +9,9 @@
 mod leaving;
 mod memory;
 mod owner;
+mod poison;
 mod record;
+mod revoked;
 mod server;
 
 use std::path::{Path, PathBuf};
@@ -60,6 +62,8 @@
     let broken = block_on(async {
         match name {
             "memory" => memory::run(trouble, &settings.0, &record).await,
+            "poison" => poison::run(trouble, &settings.0, &record).await,
+            "revoked" => revoked::run(trouble, &settings.0, &record).await,
             "leaving" => leaving::run(trouble, &settings.0, &record).await,
             "forged" => forged::run(trouble, &settings.0, &record).await,
             _ => Err(std::io::Error::other("no such case")),
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -26,6 +26,9 @@
 /// Time limit for the answer to a heartbeat.
 const BEAT_TIMEOUT_MS: u64 = 1_000;
 
+/// Body of a request that crashes each server that begins to run it.
+pub const CRASHING_BODY: &str = "crash";
+
 /// Options of a server.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -63,11 +66,14 @@
     pub born: u64,
     pub sequence: Cell<u64>,
     up: Cell<bool>,
-    draining: Cell<bool>,
+    /// Whether it is to come back after a crash.
+    pub returns: Cell<bool>,
     /// When requests arrived that were not answered with 421.
     arrivals: RefCell<Vec<u64>>,
     /// Whether it has reported its exit, after which it sends no heartbeats.
     left: Cell<bool>,
+    /// Whether it is leaving and has not said that it drains.
+    abrupt: Cell<bool>,
     pub held: RefCell<Vec<Held>>,
     seen: RefCell<Vec<(u16, u16, u64)>>,
     released: RefCell<Vec<Value>>,
@@ -98,9 +104,10 @@
             born: unix_ms(),
             sequence: Cell::new(0),
             up: Cell::new(true),
-            draining: Cell::new(false),
+            returns: Cell::new(false),
             arrivals: RefCell::default(),
             left: Cell::new(false),
+            abrupt: Cell::new(false),
             held: RefCell::default(),
             seen: RefCell::default(),
             released: RefCell::default(),
@@ -133,11 +140,6 @@
         self.held.borrow_mut().clear();
     }
 
-    /// Has it say from now on that it is leaving.
-    pub fn drain(&self) {
-        self.draining.set(true);
-    }
-
     /// Has it send no more heartbeats, and returns the body of one that it
     /// sends now on a slow way.
     pub fn last_beat(&self) -> Value {
@@ -146,6 +148,11 @@
         self.beat_body()
     }
 
+    /// Has it leave without saying that it drains: it goes on as before.
+    pub fn leave_abruptly(&self) {
+        self.abrupt.set(true);
+    }
+
     /// Path of its calls of this name.
     pub fn call_path(&self, call: &str) -> String {
         format!("/api/rpc?call=instances.{call}&of={}", self.options.id)
@@ -191,11 +198,10 @@
         let holds = self.holds();
         let holds: Vec<Value> =
             holds.iter().map(|h| json!([h.first, h.last, h.fence])).collect();
-        let state = if self.draining.get() { "draining" } else { "ready" };
         let Options { service, addr, zone, .. } = &self.options;
         json!({
             "service": service, "address": addr.to_string(), "zone": zone,
-            "version": "v1", "capacity": self.options.slots, "state": state,
+            "version": "v1", "capacity": self.options.slots, "state": "ready",
             "warmup_left_ms": 0, "sequence": self.sequence.get(),
             "born": self.born, "holds": holds,
             "released": *self.released.borrow(),
@@ -233,9 +239,8 @@
         }
         self.released.borrow_mut().drain(..reported);
         let grant: Value = reply.parse_json().unwrap_or(Value::Null);
-        let state = body["state"].as_str().unwrap_or_default();
         self.record.add(format!(
-            "beat {id} #{sequence} {state} holds {} -> {code} {grant}",
+            "beat {id} #{sequence} holds {} -> {code} {grant}",
             body["holds"]
         ));
         self.apply(&grant, sent)
@@ -349,6 +354,14 @@
         } else {
             self.options.work_ms
         };
+        if call.body.as_ref() == CRASHING_BODY.as_bytes() {
+            self.record.add(format!(
+                "server {own} CRASHES by {id}; {} others are lost",
+                self.places.get() - 1
+            ));
+            self.crash();
+            return None;
+        }
         sleep_ms(work).await;
         let load = self.load();
         let text = format!("answer to {id}");
@@ -357,7 +370,7 @@
             .with_header("response-signature", format!("{own}.{id}"))
             .with_header("server-load", load);
         // A server that is leaving closes its connections.
-        let leaving = self.left.get() || self.draining.get();
+        let leaving = self.left.get() || self.abrupt.get();
         let close = |reply: Reply| reply.with_header("connection", "close");
         Some(if leaving { close(reply) } else { reply })
     }
