--- a/review/standin/src/memory.rs
+++ b/review/standin/src/memory.rs
@@ -84,7 +84,7 @@
     let mut broken = Vec::new();
     if often >= 2 {
         broken.push(format!(
-            "Fault: on {often} machines processes end three times or more \\
+            "Fault: on {often} machines processes end three times or more \
              for more memory than {MEMORY_MB} MB: {ends:?}"
         ));
     }
--- a/review/standin/src/revoked.rs
+++ b/review/standin/src/revoked.rs
@@ -16,6 +16,9 @@
 const DRAIN_MS: u64 = 2_000;
 const CONTACT_MS: u64 = 3_000;
 
+/// When the server reports its exit after a heartbeat.
+const AFTER_BEAT_MS: u64 = 100;
+
 /// When the node is killed after the acknowledgement, and for how long.
 const KILL_AFTER_MS: u64 = 200;
 const DOWN_MS: u64 = 3_000;
@@ -47,6 +50,12 @@
     let machine = &deployment.machines[1];
     let server = Rc::clone(&machine.server.borrow());
     let id = server.options.id.clone();
+    // Its keys move with the heartbeat after the report.
+    let sequence = server.sequence.get();
+    while server.sequence.get() == sequence {
+        sleep_ms(5).await;
+    }
+    sleep_ms(AFTER_BEAT_MS).await;
     server.leave_abruptly();
     let (path, node) = (server.call_path("deregister"), server.options.node);
     let answer = call_once(node, Method::POST, &path, &[], "{}", 1_000).await;
