Read announcements completely, and let what was granted run out

A later start time under any name then ended at once what the known instance may still hold, so that its keys went to others while it held them. Ruled out: to require both lists of ranges of all upstreams. Grants to an instance under another name count until they expire; a restart under the same name ends them as before.

--- a/crates/core/src/fleet/announce.rs
+++ b/crates/core/src/fleet/announce.rs
@@ -145,6 +145,15 @@
         if announcement.service != self.settings.service {
             return Some("service differs from that of the upstream");
         }
+        let service = &self.settings.service;
+        let is_keyed =
+            self.config.as_ref().is_some_and(|c| c.is_keyed(service));
+        if announcement.unlisted
+            && is_keyed
+            && self.settings.grants == GrantMode::Heartbeat
+        {
+            return Some("it does not say which ranges the upstream holds");
+        }
         None
     }
 
--- a/crates/core/src/fleet/upstream.rs
+++ b/crates/core/src/fleet/upstream.rs
@@ -90,6 +90,9 @@
     pub cold_ms: u64,
     /// Sequence number within the instance, to detect late announcements.
     pub sequence: u64,
+    /// Whether it says nothing of ranges, as upstreams of a service that is
+    /// not partitioned by key do.
+    pub unlisted: bool,
     /// Ranges that it holds or has requests running for.
     pub holds: Vec<Held>,
     /// Ranges that it has released, with their handover tokens.
@@ -211,6 +214,10 @@
     down: bool,
     holdings: Vec<Holding>,
     promises: Vec<Promise>,
+    /// Promises to earlier instances under other names. That a later one
+    /// announces itself does not prove that they have ended, so they count
+    /// until they expire.
+    earlier_promises: Vec<Promise>,
     released: Vec<Released>,
 }
 
@@ -244,6 +251,7 @@
             down: false,
             holdings: Vec::new(),
             promises: vec![Promise { first, last, until, answered }],
+            earlier_promises: Vec::new(),
             released: Vec::new(),
         }
     }
@@ -261,6 +269,10 @@
                 // The earlier instance has ended: the new one uses its
                 // address.
                 let instance = &announcement.instance;
+                let renamed = self
+                    .instance
+                    .as_ref()
+                    .is_some_and(|known| known.id != instance.id);
                 let left_earlier =
                     self.left_earlier.take().as_ref() == Some(instance);
                 self.leaving_at_start = left_earlier
@@ -278,7 +290,11 @@
                 self.released.clear();
                 // A call may have reached the new instance already.
                 if self.mode == GrantMode::Heartbeat {
-                    self.promises.clear();
+                    let old = std::mem::take(&mut self.promises);
+                    self.earlier_promises.retain(|p| p.until > now);
+                    if renamed {
+                        self.earlier_promises.extend(old);
+                    }
                 }
             }
             Recency::Current => {}
@@ -571,7 +587,7 @@
     /// Whether the upstream may hold a key of `first..=last`.
     #[must_use]
     pub fn may_hold(&self, first: u16, last: u16, now: Millis) -> bool {
-        let mut promises = self.promises.iter();
+        let mut promises = self.promises.iter().chain(&self.earlier_promises);
         promises.any(|p| p.until > now && p.first <= last && first <= p.last)
     }
 
--- a/crates/core/tests/fleet/malformed.rs
+++ b/crates/core/tests/fleet/malformed.rs
@@ -90,6 +90,7 @@
         slots: key(random),
         phase: phases[random.random_range(0..phases.len())],
         cold_ms: number(random),
+        unlisted: random.random_bool(0.1),
         sequence: number(random),
         holds: holds
             .map(|_| Held {
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -928,6 +928,7 @@
             slots: 10,
             phase: upstream.phase,
             cold_ms: 0,
+            unlisted: false,
             sequence: upstream.sequence,
             holds: upstream.ranges.iter().map(to_held).collect(),
             released: upstream.released.clone(),
--- a/crates/core/tests/fleet/upstream.rs
+++ b/crates/core/tests/fleet/upstream.rs
@@ -1,13 +1,19 @@
 //! Which ranges the upstream local to a node may hold.
 
 use lagoondyke_core::clock::Millis;
+use lagoondyke_core::fleet::effect::{Effect, Notice};
+use lagoondyke_core::fleet::event::Event;
 use lagoondyke_core::fleet::lease::extend_for_drift;
-use lagoondyke_core::fleet::settings::GrantMode;
+use lagoondyke_core::fleet::settings::{GrantMode, Settings};
 use lagoondyke_core::fleet::table::Instance;
 use lagoondyke_core::fleet::upstream::{
     Announcement, Grant, Granted, Held, LocalUpstream, MAX_GRANT_MS, Phase,
     Recency, Released,
 };
+use lagoondyke_core::id::Ticket;
+
+use crate::requests::Harness;
+use crate::support::settings;
 
 fn instance(started: u64) -> Instance {
     Instance { id: "u".to_owned(), started_ms: started }
@@ -145,3 +151,62 @@
         assert_eq!(upstream.is_ready(), !leaves, "{sequence}");
     }
 }
+
+/// Guards against two holders of a range: a later instance under a name that
+/// the node does not know, as another writer may announce, ended what the
+/// known one may still hold.
+#[test]
+fn an_unknown_instance_does_not_end_the_grants_of_the_known_one() {
+    let mut upstream = LocalUpstream::new(GrantMode::Heartbeat, Millis(0));
+    upstream.apply_announcement(&announcement(1, &[]), Millis(10));
+    upstream.record_grant(&grant(&[(0, 99)]), Millis(10));
+    let unknown = Announcement {
+        instance: Instance { id: "other".to_owned(), started_ms: 2 },
+        ..announcement(1, &[])
+    };
+    let recency = upstream.apply_announcement(&unknown, Millis(50));
+    assert_eq!(recency, Recency::NewInstance);
+    let end = 10 + extend_for_drift(MAX_GRANT_MS);
+    assert!(upstream.may_hold(5, 5, Millis(end - 1)));
+    let unknown = Announcement { sequence: 2, ..unknown };
+    upstream.apply_announcement(&unknown, Millis(900));
+    assert!(upstream.may_hold(5, 5, Millis(end - 1)));
+    assert!(!upstream.may_hold(5, 5, Millis(end)));
+}
+
+/// Guards against an announcement of another writer that names no ranges,
+/// which was taken for one of an upstream that holds keys.
+#[test]
+fn an_upstream_of_a_service_with_keys_lists_its_ranges() {
+    for (service, unlisted, ignored) in
+        [("k", true, true), ("k", false, false), ("s", true, false)]
+    {
+        let settings = Settings { service: service.to_owned(), ..settings(0) };
+        let announcement = Announcement {
+            service: service.to_owned(),
+            address: settings.upstream.to_string(),
+            unlisted,
+            ..announcement(1, &[])
+        };
+        let out = Harness::with(settings).step(Event::Announced {
+            ticket: Ticket(9),
+            announcement: Box::new(announcement),
+        });
+        let is_ignored = out.iter().any(|effect| {
+            matches!(effect, Effect::Notice(Notice::Ignored { .. }))
+        });
+        assert_eq!(is_ignored, ignored, "{service} {unlisted}");
+    }
+}
+
+/// Guards against keys that stay with their node for the rest of a grant,
+/// although the instance that held them has started again under its name.
+#[test]
+fn a_restart_under_the_same_name_ends_the_grants_before() {
+    let mut upstream = LocalUpstream::new(GrantMode::Heartbeat, Millis(0));
+    upstream.apply_announcement(&announcement(1, &[]), Millis(10));
+    upstream.record_grant(&grant(&[(0, 99)]), Millis(10));
+    let again = Announcement { instance: instance(2), ..announcement(1, &[]) };
+    upstream.apply_announcement(&again, Millis(50));
+    assert!(!upstream.may_hold(5, 5, Millis(50)));
+}
