Acknowledge an exit when the store holds it

Cause: a node answered its upstream's report of an exit before its record named the upstream as leaving. A report that came before the first announcement was never recorded at all. Ruled out: to hold back answers to announcements of a draining upstream in the same way. It repeats its state with each announcement, and while the store is down its keys would expire. Weighed: while the store does not take the record, the report is refused with 503 after 0.8 s. The upstream gets no new requests after the drain time either way, and a promise that the node may forget is not given. Change: the module fleet/exit; a record may name a leaving upstream whose start time is unknown (0); a process sends its upstream nothing before it has read its node's record.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -21,6 +21,7 @@
 mod documents;
 pub mod effect;
 pub mod event;
+mod exit;
 pub mod gossip;
 pub mod grant_calls;
 pub mod key_load;
--- a/crates/core/src/fleet/documents.rs
+++ b/crates/core/src/fleet/documents.rs
@@ -195,7 +195,8 @@
     ) {
         if let Call::Relayed(_) = call {
             // Peers only read and write this node's own record for it.
-            return self.on_renewed(outcome, now, out);
+            self.on_renewed(outcome, now, out);
+            return self.answer_exits(now, out);
         }
         let up = !matches!(
             outcome,
@@ -214,6 +215,7 @@
             Call::Watch(kind) => self.on_changed(kind, outcome, now, out),
             Call::Renew | Call::ReadRecord => {
                 self.on_renewed(outcome, now, out);
+                self.answer_exits(now, out);
             }
             Call::Edit(service) => {
                 self.on_edit_done(&service, outcome, now, out);
--- a/crates/core/src/fleet/effect.rs
+++ b/crates/core/src/fleet/effect.rs
@@ -61,6 +61,13 @@
         /// Ranges that the upstream is to hold.
         grant: Grant,
     },
+    /// Answer the upstream's report of its exit.
+    AnswerExit {
+        /// Handle of the report.
+        ticket: Ticket,
+        /// Whether the report is acknowledged: the store holds it.
+        recorded: bool,
+    },
     /// Call the upstream about the keys that it holds; ends with
     /// `Event::CallDone`.
     CallUpstream {
@@ -286,6 +293,12 @@
         /// Name of the upstream.
         id: String,
     },
+    /// The upstream's report of its exit was refused, since the store has not
+    /// taken the node's record in time.
+    ExitUnrecorded {
+        /// Name of the upstream.
+        id: String,
+    },
     /// The upstream reported that it is draining or has exited.
     UpstreamLeaving {
         /// Name of the upstream.
--- a/crates/core/src/fleet/event.rs
+++ b/crates/core/src/fleet/event.rs
@@ -209,6 +209,8 @@
     },
     /// The upstream reported its exit.
     UpstreamLeft {
+        /// Handle to answer the report.
+        ticket: Ticket,
         /// Name of the upstream.
         id: String,
     },
--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -11,6 +11,7 @@
 use crate::fleet::documents::{Feed, VersionedTable};
 use crate::fleet::effect::{Effect, Notice};
 use crate::fleet::event::{Document, Event, Load, ObjectKind, Outcome};
+use crate::fleet::exit::WaitingExits;
 use crate::fleet::gossip::{Directory, Versions};
 use crate::fleet::grant_calls::GrantCalls;
 use crate::fleet::key_load::KeyLoad;
@@ -82,6 +83,7 @@
     /// Announcement whose answer waits until the node has claimed its ranges,
     /// and when it arrived.
     pub(super) waiting_announcement: Option<(Ticket, Millis)>,
+    pub(super) waiting_exits: WaitingExits,
     pub(super) renewal_count: u64,
     pub(super) gossip_count: u64,
     pub(super) gossip_due: Millis,
@@ -136,6 +138,7 @@
             .map(|kind| Feed::new(kind, now)),
             renewal: Renewal { due: now, ..Renewal::default() },
             waiting_announcement: None,
+            waiting_exits: WaitingExits::new(),
             renewal_count: 0,
             gossip_count: 0,
             gossip_due: now,
@@ -163,11 +166,8 @@
             Event::CallDone { ticket, outcome } => {
                 self.on_call_done(ticket, outcome, now, out);
             }
-            Event::UpstreamLeft { id } => {
-                self.upstream.set_left(&id, now);
-                out.push(Effect::Notice(Notice::UpstreamLeaving { id }));
-                self.reconcile(now, out);
-                self.refuse_queued(now, out);
+            Event::UpstreamLeft { ticket, id } => {
+                self.on_upstream_left(ticket, id, now, out);
             }
             Event::Request(arrival) => self.on_request(arrival, now, out),
             Event::PeerDone { ticket, outcome } => {
@@ -265,6 +265,7 @@
             self.reconcile(now, out);
         }
         self.check_waiting_announcement(now, out);
+        self.answer_exits(now, out);
         self.tick_requests(now, out);
         self.finish_stop(now, out);
     }
@@ -355,13 +356,15 @@
 
     /// Whether requests may be sent to the local upstream. While it drains, or
     /// its failure domain is out of service, they may be for a limited time,
-    /// in which its keys are handed over.
+    /// in which its keys are handed over. A process that has not read its
+    /// node's record may not know that the upstream is leaving.
     pub(super) fn is_serving(&self, now: Millis) -> bool {
         let bounds = &self.settings.bounds;
         let over = |since: Option<Millis>, span: u64| {
             since.is_some_and(|since| now.since(since) >= span)
         };
-        self.upstream.is_up()
+        self.renewal.record_known
+            && self.upstream.is_up()
             && !self.upstream.was_leaving_at_start()
             && !over(self.upstream.leaving_since(), bounds.drain_ms())
             && !over(self.out_since, bounds.evacuate_ms())
--- a/crates/core/src/fleet/renewal.rs
+++ b/crates/core/src/fleet/renewal.rs
@@ -32,11 +32,13 @@
     pub(super) record_known: bool,
     /// The leaving upstream that the last record names.
     pub(super) recorded_leaving: Option<Instance>,
+    /// The leaving upstream that the store is known to hold.
+    pub(super) stored_leaving: Option<Instance>,
 }
 
 impl Fleet {
     pub(super) fn renew(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        let leaving = self.upstream.leaving_instance().cloned();
+        let leaving = self.upstream.leaving_instance();
         // The upstream may serve for a while after it has reported its exit,
         // and this process may be restarted before the renewal that is due.
         let is_unrecorded = self.renewal.record_known
@@ -176,6 +178,9 @@
             self.lease.revision = item.revision;
             return;
         }
+        if let Some(Value::Node(record)) = &item.value {
+            self.renewal.stored_leaving.clone_from(&record.leaving);
+        }
         let lapsed =
             self.lease.remaining_ms(now) == 0 && !self.needs_no_lease();
         let fresh = self.term == 0 || lapsed;
--- a/crates/core/src/fleet/upstream.rs
+++ b/crates/core/src/fleet/upstream.rs
@@ -36,6 +36,10 @@
 /// node, they stay within the slack of 5 requests that the platform allows.
 const MAX_UNANSWERED_COUNT: usize = 4;
 
+/// Start time in the record of an upstream that reported its exit before this
+/// process had an announcement of it.
+const UNKNOWN_START_MS: u64 = 0;
+
 /// Largest size of a range in an answer, without its handover token.
 const MAX_RANGE_BYTES: usize = 32;
 
@@ -183,6 +187,20 @@
     }
 }
 
+/// Whether a recorded upstream is this instance, as of its announcement with
+/// this number. Without a recorded start time, an instance of the same name is
+/// another one if it has just begun to count its announcements.
+fn is_life_of(
+    recorded: &Instance,
+    instance: &Instance,
+    sequence: u64,
+) -> bool {
+    recorded == instance
+        || recorded.started_ms == UNKNOWN_START_MS
+            && recorded.id == instance.id
+            && sequence > 1
+}
+
 /// State of the upstream local to this node.
 #[derive(Clone, Debug)]
 pub struct LocalUpstream {
@@ -273,8 +291,10 @@
                     .instance
                     .as_ref()
                     .is_some_and(|known| known.id != instance.id);
-                let left_earlier =
-                    self.left_earlier.take().as_ref() == Some(instance);
+                let sequence = announcement.sequence;
+                let left_earlier = self.left_earlier.take();
+                let left_earlier = left_earlier
+                    .is_some_and(|l| is_life_of(&l, instance, sequence));
                 self.leaving_at_start = left_earlier
                     || self.instance.is_none()
                         && announcement.phase != Phase::Ready;
@@ -420,7 +440,10 @@
     pub fn set_left_earlier(&mut self, instance: Instance, now: Millis) {
         match &self.instance {
             None => self.left_earlier = Some(instance),
-            Some(known) if *known == instance && !self.is_leaving() => {
+            Some(known)
+                if is_life_of(&instance, known, self.sequence)
+                    && !self.is_leaving() =>
+            {
                 self.leaving_at_start = true;
                 self.leaving = Some(now);
             }
@@ -431,9 +454,17 @@
     /// The instance that is known to be leaving, also from an earlier process
     /// of the node.
     #[must_use]
-    pub fn leaving_instance(&self) -> Option<&Instance> {
-        let leaving = self.instance.as_ref().filter(|_| self.is_leaving());
-        leaving.or(self.left_earlier.as_ref())
+    pub fn leaving_instance(&self) -> Option<Instance> {
+        if self.is_leaving() {
+            return self.instance.clone();
+        }
+        let earlier = self.left_earlier.as_ref();
+        let Some((id, _)) = &self.left_unknown else {
+            return earlier.cloned();
+        };
+        let earlier = earlier.filter(|earlier| earlier.id == *id).cloned();
+        let started_ms = UNKNOWN_START_MS;
+        earlier.or_else(|| Some(Instance { id: id.clone(), started_ms }))
     }
 
     /// Records that the upstream refused a connection.
--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -8,7 +8,7 @@
 use lagoondyke_core::id::{Fingerprint, Ticket};
 use lagoondyke_core::verdict::{Reason, Refusal, Verdict};
 
-use crate::requests::{Harness, dispatches, forwards, refusal, refused};
+use crate::requests::{Harness, dispatches, forwards, left, refusal, refused};
 
 /// Fingerprint of the request that crashes upstreams.
 const HARMFUL: Fingerprint = Fingerprint(66);
@@ -252,7 +252,7 @@
 fn an_upstream_that_has_left_has_not_crashed() {
     let mut harness = running_it();
     harness.upstream_done(1, Err(Refusal::new(Reason::AnswerCut, "")));
-    harness.step(Event::UpstreamLeft { id: "u0".to_owned() });
+    harness.step(left());
     harness.now += 800;
     harness.announce_instance("u1", 2);
     assert_eq!(reported_suspects(&mut harness), []);
--- a/crates/core/tests/fleet/limits.rs
+++ b/crates/core/tests/fleet/limits.rs
@@ -8,7 +8,7 @@
 use lagoondyke_core::verdict::Reason;
 
 use crate::requests::{
-    Harness, dispatched_tickets, dispatches, forwards, refusal,
+    Harness, dispatched_tickets, dispatches, forwards, left, refusal,
 };
 
 /// Time that a request takes at the upstream.
@@ -235,7 +235,7 @@
 #[test]
 fn an_upstream_that_reports_its_exit_first_still_serves() {
     let mut harness = answered(leaving());
-    harness.step(Event::UpstreamLeft { id: "u0".to_owned() });
+    harness.step(left());
     harness.now += 500;
     assert_eq!(dispatches(&harness.peer_request(0, 900)), 1);
     harness.now += DRAIN_MS;
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod crashes;
+mod exit;
 mod grant_calls;
 mod limits;
 mod malformed;
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -19,6 +19,9 @@
 
 use crate::support::settings;
 
+/// Handle of the upstream's report of its exit.
+pub const EXIT: Ticket = Ticket(1 << 41);
+
 /// One node, `n0`, of the service `s` beside the keyed service `k`, whose
 /// keys belong to `n1`.
 pub struct Harness {
@@ -63,8 +66,32 @@
         Self::started(settings(0), incarnation).configured()
     }
 
+    /// A node that has not read its record in the store.
+    pub fn unread() -> Self {
+        Self::started(settings(0), 1).with_documents()
+    }
+
+    /// The record that an effect writes to the store.
+    pub fn stored(effect: &Effect) -> Option<Item> {
+        let Effect::Store { call: Call::Renew, op } = effect else {
+            return None;
+        };
+        let Op::Update { name, value, .. } = op else { return None };
+        let (name, value) = (name.clone(), Some(value.clone()));
+        Some(Item { name, revision: 1 << 20, value })
+    }
+
+    /// The node once it knows the configuration, the tables and its record.
+    fn configured(self) -> Self {
+        let mut harness = self.with_documents();
+        let call = Call::ReadRecord;
+        let outcome = StoreOutcome::Missing;
+        harness.step(Event::StoreDone { call, outcome });
+        harness
+    }
+
     /// The node once it knows the configuration and the tables.
-    fn configured(mut self) -> Self {
+    fn with_documents(mut self) -> Self {
         let call = Call::List(ObjectKind::Config);
         let outcome = listed("main", Value::Config(Box::new(config())));
         self.step(Event::StoreDone { call, outcome });
@@ -307,6 +334,11 @@
     config
 }
 
+/// The upstream's report of its exit.
+pub fn left() -> Event {
+    Event::UpstreamLeft { ticket: EXIT, id: "u0".to_owned() }
+}
+
 pub fn forwards(out: &[Effect]) -> Vec<SocketAddr> {
     let to = out.iter().filter_map(|effect| match effect {
         Effect::Forward { to, .. } => Some(*to),
@@ -806,7 +838,7 @@
         let mut before = Harness::new();
         before.announce(Phase::Ready, 4);
         before.written_record(2_000);
-        before.step(Event::UpstreamLeft { id: "u0".to_owned() });
+        before.step(left());
         let record = before.written_record(200);
         let mut harness = Harness::with_incarnation(2);
         if announces_first {
--- a/crates/node/src/fleet/endpoints.rs
+++ b/crates/node/src/fleet/endpoints.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use lagoondyke_core::fleet::event::Event;
 use lagoondyke_core::fleet::upstream::Grant;
 use monoio::net::{TcpListener, TcpStream};
 use monoio::time::timeout;
@@ -114,8 +113,10 @@
 ) -> (StatusCode, Bytes) {
     let announcement = match message {
         UpstreamMessage::Left(id) => {
-            shell.post(Event::UpstreamLeft { id });
-            return (StatusCode::OK, Bytes::from_static(b"{}"));
+            return match shell.report_exit(id).await {
+                Ok(true) => (StatusCode::OK, Bytes::from_static(b"{}")),
+                _ => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+            };
         }
         UpstreamMessage::Announcement(announcement) => announcement,
     };
--- a/crates/node/src/fleet/notice_log.rs
+++ b/crates/node/src/fleet/notice_log.rs
@@ -206,6 +206,10 @@
             Notice::UpstreamStarted { id } => {
                 slog::info!(log, "upstream announced itself"; "id" => id);
             }
+            Notice::ExitUnrecorded { id } => {
+                slog::warn!(log, "exit of the upstream not acknowledged";
+                    "id" => id, "reason" => "its record is not stored");
+            }
             Notice::UpstreamLeaving { id } => {
                 slog::info!(log, "upstream is draining or has exited";
                     "id" => id);
--- a/crates/node/src/fleet/shell.rs
+++ b/crates/node/src/fleet/shell.rs
@@ -65,6 +65,7 @@
     next_ticket: Cell<u64>,
     requests: RefCell<HashMap<Ticket, PendingRequest>>,
     grants: RefCell<HashMap<Ticket, Sender<Grant>>>,
+    exits: RefCell<HashMap<Ticket, Sender<bool>>>,
     arrivals: RefCell<Arrivals>,
     unwritten: Rc<Cell<usize>>,
 }
@@ -131,6 +132,7 @@
             next_ticket: Cell::new(1),
             requests: RefCell::default(),
             grants: RefCell::default(),
+            exits: RefCell::default(),
             arrivals: RefCell::new(Arrivals::new(clock::since_boot())),
             unwritten: Rc::default(),
         };
@@ -292,6 +294,17 @@
         }
     }
 
+    /// Accepts the upstream's report of its exit; the receiver learns whether
+    /// it is acknowledged.
+    #[must_use]
+    pub fn report_exit(&self, id: String) -> Receiver<bool> {
+        let ticket = self.next_ticket();
+        let (sender, recorded) = oneshot::channel();
+        self.inner.exits.borrow_mut().insert(ticket, sender);
+        self.post(Event::UpstreamLeft { ticket, id });
+        recorded
+    }
+
     /// Accepts an announcement of the upstream; the receiver gets the answer.
     #[must_use]
     pub fn announce(&self, announcement: Announcement) -> Receiver<Grant> {
@@ -357,6 +370,10 @@
                 // The upstream may have disconnected in the meantime.
                 let _ = sender.map(|sender| sender.send(grant));
             }
+            Effect::AnswerExit { ticket, recorded } => {
+                let sender = self.inner.exits.borrow_mut().remove(&ticket);
+                let _ = sender.map(|sender| sender.send(recorded));
+            }
             Effect::CallUpstream {
                 ticket,
                 upstream,
