Keep the leaving upstream in a record that is revoked

Cause: a node that takes over for a lost one overwrote its record with an empty one. Ruled out: to take the upstream from gossip, which the node may not have sent in time. Weighed: to write the revocation beside the record; one read more before a revocation is simpler and costs one call for each lost node. Change: a takeover reads the record first and writes back what a later process must know, with the harmful requests of both nodes. The end of the lease is still taken from gossip where the revision is the same.

--- a/crates/core/src/fleet/lease.rs
+++ b/crates/core/src/fleet/lease.rs
@@ -50,6 +50,10 @@
 /// others. A peer that has missed a renewal may be unable to reach the store.
 pub const MIN_PEER_LEASE_MS: u64 = LEASE_DURATION_MS - 2 * RENEWAL_INTERVAL_MS;
 
+/// Most harmful requests in a revoked record: those of its node and of the one
+/// that revokes it.
+const MAX_REVOKED_HARMFUL_COUNT: usize = 16;
+
 /// Largest relative clock rate error; the platform states 2 %.
 pub const MAX_CLOCK_ERROR_PER_MILLE: u64 = 20;
 
@@ -94,6 +98,26 @@
     pub leaving: Option<Instance>,
 }
 
+impl Record {
+    /// The record with which another node revokes the lease. What a later
+    /// process of the node must know stays, with the harmful requests that the
+    /// other node has found.
+    #[must_use]
+    pub fn revoked_with(&self, found: &[HarmfulRequest]) -> Self {
+        let mut harmful = self.harmful.clone();
+        for new in found {
+            let known = harmful.iter_mut().find(|h| h.request == new.request);
+            match known {
+                Some(old) => old.left_ms = old.left_ms.max(new.left_ms),
+                None => harmful.push(*new),
+            }
+        }
+        harmful.truncate(MAX_REVOKED_HARMFUL_COUNT);
+        let leaving = self.leaving.clone();
+        Self { revoked: true, harmful, leaving, ..Self::default() }
+    }
+}
+
 /// A request that crashes upstreams.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/core/src/fleet/takeover.rs
+++ b/crates/core/src/fleet/takeover.rs
@@ -1,9 +1,10 @@
 //! Takeover of the ranges of lost nodes.
 //!
-//! The lease of a silent node is revoked: its record in the store is
-//! overwritten, conditional on its last known revision. After that its
-//! renewals fail, so that its lease expires at a known time. Then its ranges
-//! are reassigned.
+//! The lease of a silent node is revoked: its record in the store is read and
+//! overwritten, conditional on its revision. After that its renewals fail, so
+//! that its lease expires at a known time. Then its ranges are reassigned. What
+//! a later process of the node must know, such as that its upstream is leaving,
+//! stays in the record.
 
 use crate::clock::Millis;
 use crate::fleet::balance::Move;
@@ -25,10 +26,12 @@
 const TAKEOVER_RETRY_MS: u64 = 500;
 
 /// Progress of the takeover from one lost node.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Takeover {
     stage: Stage,
     lease: Option<PeerLease>,
+    /// The node's record of the lease's revision, once it has been read.
+    record: Option<Record>,
     due: Millis,
 }
 
@@ -75,12 +78,13 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        let Some(takeover) = self.takeovers.get(node).copied() else {
+        let Some(takeover) = self.takeovers.get(node).cloned() else {
             let delay = TAKEOVER_RANK_DELAY_MS * self.takeover_rank(now);
             let lease = self.directory.get(node).and_then(|p| p.lease);
             let due = now.plus(delay);
             let stage = Stage::Suspected;
-            let takeover = Takeover { stage, lease, due };
+            let record = None;
+            let takeover = Takeover { stage, lease, record, due };
             self.takeovers.insert(node.to_owned(), takeover);
             let node = node.to_owned();
             out.push(Effect::Notice(Notice::NodeLost { node }));
@@ -96,8 +100,8 @@
         self.advance_takeover(node, takeover, now, out);
     }
 
-    /// Sends the next store call of a takeover: revokes the lease if its
-    /// revision is known, else reads the record.
+    /// Sends the next store call of a takeover: revokes the lease if its record
+    /// is known, else reads the record.
     fn advance_takeover(
         &mut self,
         node: &str,
@@ -108,15 +112,15 @@
         let name = node.to_owned();
         let kind = ObjectKind::Nodes;
         let due = now.plus(TAKEOVER_RETRY_MS);
-        let (call, op) = if let Some(known) = takeover.lease {
-            let harmful = self.requests.crashes.recorded(now);
-            let record =
-                Record { revoked: true, harmful, ..Record::default() };
+        let (call, op) = if let (Some(known), Some(record)) =
+            (takeover.lease, &takeover.record)
+        {
+            let own = self.requests.crashes.recorded(now);
             let op = Op::Update {
                 kind,
                 name: name.clone(),
                 expect: known.revision,
-                value: Value::Node(record),
+                value: Value::Node(record.revoked_with(&own)),
             };
             (Call::Revoke(name.clone()), op)
         } else {
@@ -151,13 +155,21 @@
         match outcome {
             StoreOutcome::Done(item) => {
                 let term = item.revision;
-                let revoked = matches!(item.value,
-                    Some(Value::Node(record)) if record.revoked);
-                if revoked {
+                let record = match item.value {
+                    Some(Value::Node(record)) => record,
+                    _ => Record::default(),
+                };
+                if record.revoked {
                     takeover.stage = Stage::Revoked(Revocation { ends, term });
                     return;
                 }
-                takeover.lease = Some(PeerLease::from_record(term, now));
+                // Gossip tells how long a lease runs; the record does not.
+                let known = takeover.lease.filter(|l| l.revision == term);
+                let lease =
+                    known.unwrap_or_else(|| PeerLease::from_record(term, now));
+                takeover.lease = Some(lease);
+                takeover.record = Some(record);
+                takeover.due = now;
                 takeover.stage = Stage::Suspected;
             }
             // Without a record there is no lease, and a later record has a
@@ -200,6 +212,7 @@
         }
         // The record has changed, or the outcome is unknown: read it.
         takeover.lease = None;
+        takeover.record = None;
         takeover.stage = Stage::Suspected;
         takeover.due = now.plus(TAKEOVER_RETRY_MS);
         if let StoreOutcome::Conflict(_) = outcome {
--- a/crates/core/tests/fleet/exit.rs
+++ b/crates/core/tests/fleet/exit.rs
@@ -4,7 +4,9 @@
 use lagoondyke_core::fleet::event::{Call, Event, StoreOutcome};
 use lagoondyke_core::fleet::upstream::Phase;
 
+use crate::ownership::{RECOVERY_MS, SETTLE_MS};
 use crate::requests::{EXIT, Harness, dispatches, left};
+use crate::support::Simulation;
 
 /// Time for which an upstream serves after its report, by the test's settings.
 const DRAIN_MS: u64 = 2_000;
@@ -97,3 +99,27 @@
     harness.announce(Phase::Ready, 4);
     assert_eq!(dispatches(&harness.peer_request(0, 5_000)), 0);
 }
+
+/// Guards against a node that takes over and overwrites the record which names
+/// the leaving upstream: the next process of the lost node used it again.
+#[test]
+fn a_takeover_keeps_the_leaving_upstream_in_the_record() {
+    for seed in 0..5 {
+        let mut sim = Simulation::new(4, seed);
+        sim.run(SETTLE_MS);
+        sim.report_exit(1);
+        sim.run(50);
+        let leaving = sim.record(1).and_then(|record| record.leaving);
+        assert!(leaving.is_some(), "the exit is recorded");
+        // The node is gone before its keys have moved.
+        sim.kill_node(1);
+        sim.run(RECOVERY_MS);
+        let record = sim.record(1).expect("a record");
+        assert!(record.revoked, "seed {seed}");
+        assert_eq!(record.leaving, leaving, "seed {seed}");
+        sim.start_node(1);
+        sim.run(SETTLE_MS);
+        assert_eq!(sim.range_counts()[1], 0, "seed {seed}");
+        assert!(sim.violations.is_empty(), "{:?}", &sim.violations[..1]);
+    }
+}
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -14,6 +14,7 @@
     Call, CallOutcome, Document, Event, Item, ObjectKind, StoreOutcome, Value,
 };
 use lagoondyke_core::fleet::grant_calls::UpstreamCall;
+use lagoondyke_core::fleet::lease::Record;
 use lagoondyke_core::fleet::settings::{Bounds, GrantMode, Settings};
 use lagoondyke_core::fleet::table::Instance;
 use lagoondyke_core::fleet::upstream::{
@@ -429,6 +430,24 @@
         self.upstreams[index].up = false;
     }
 
+    /// The upstream of a node reports its exit, and goes on announcing itself
+    /// as ready.
+    pub fn report_exit(&mut self, index: usize) {
+        let id = self.upstreams[index].instance.id.clone();
+        let process = self.nodes[index].process;
+        let event = Event::UpstreamLeft { ticket: Ticket(u64::MAX), id };
+        self.deliver(index, process, event);
+    }
+
+    /// The record of a node in the store.
+    pub fn record(&self, index: usize) -> Option<Record> {
+        let key = (ObjectKind::Nodes, format!("n{index}"));
+        match self.objects.get(&key) {
+            Some((_, Value::Node(record))) => Some(record.clone()),
+            _ => None,
+        }
+    }
+
     /// Simulates `span` milliseconds and checks the guarantees after each.
     pub fn run(&mut self, span: u64) {
         let end = self.now + span;
