Recognize a harmful request that returns for another key

Cause: the fingerprint of a request included its key. Answers to the same path of another host would clear a harmful request for good, so method and host stay. Change: the key is left out.

--- a/crates/node/src/fleet/message.rs
+++ b/crates/node/src/fleet/message.rs
@@ -78,9 +78,10 @@
         }
     }
 
-    /// Hash of the calling service, method, host, path, key and body, by which
+    /// Hash of the calling service, method, host, path and body, by which
     /// requests that crash upstreams are recognized. Upstreams are told the
-    /// calling service, and may treat its requests differently.
+    /// calling service, and may treat its requests differently. The key is left
+    /// out, since such a request may return for another one.
     fn fingerprint(&self, origin: &str) -> Fingerprint {
         let mut hash = Xxh3Default::new();
         let method = self.method.as_str();
@@ -88,8 +89,6 @@
             hash.update(&(part.len() as u64).to_le_bytes());
             hash.update(part.as_bytes());
         }
-        let key = self.meta.key.map_or(u32::MAX, u32::from);
-        hash.update(&key.to_le_bytes());
         hash.update(&self.body);
         Fingerprint(hash.digest())
     }
