Count the copies of a request that a crash ends

Cause: a request that returns many times at once runs in several copies at an upstream, and all of them end with its crash. Counted were crashes, so that it was refused after the third crash, when it had long crashed the third of its runs. Ruled out: that a crash was not recorded or not told. Change: each copy counts, at most three a crash. Result: copies_that_end_at_one_crash_count_each fails before.

--- a/crates/core/src/fleet/crash_memory.rs
+++ b/crates/core/src/fleet/crash_memory.rs
@@ -1,10 +1,11 @@
 //! Memory of the requests that crash upstreams.
 //!
-//! A node reports to its peers how often each request was running when its
-//! upstream crashed. Each node adds up the highest numbers that the others have
-//! reported, since a request may return at any node long after a crash. A
-//! request that was running at [`CRASH_LIMIT_COUNT`] crashes is harmful. An
-//! answer clears a request, because a frequent one is running at many crashes.
+//! A node reports to its peers how many copies of each request were running
+//! when its upstream crashed. Each node adds up the highest numbers that the
+//! others have reported, since a request may return at any node long after a
+//! crash. A request of which crashes have ended [`CRASH_LIMIT_COUNT`] copies is
+//! harmful. An answer clears a request, because a frequent one is running at
+//! many crashes.
 //!
 //! A node that finds a request harmful names it in its reports as often as the
 //! limit says, so that nodes that have restarted since the crashes learn of
@@ -12,7 +13,7 @@
 //! ever be forgotten. Its record in the store names them as well, for a restart
 //! of all nodes at once.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::clock::Millis;
 use crate::fleet::lease::HarmfulRequest;
@@ -21,7 +22,7 @@
 use crate::request::poison_tracker::{PoisonTracker, QUARANTINE_MS};
 use crate::request::recent_answers::RecentAnswers;
 
-/// Number of upstream crashes, over all nodes, after which a request is
+/// Number of copies ended by crashes, over all nodes, after which a request is
 /// harmful.
 const CRASH_LIMIT_COUNT: u32 = 3;
 
@@ -136,7 +137,8 @@
     ) -> (Suspects, Finding) {
         let suspects = self.own.record_crash(running, &self.answers, now);
         let harmful = self.tracker.record(suspects.counted.clone(), now);
-        let counted = self.counts_of(suspects.counted.iter().copied());
+        let unique: BTreeSet<_> = suspects.counted.iter().copied().collect();
+        let counted = self.counts_of(unique.into_iter());
         let harmful = self.add_harmful(harmful, true, now);
         (suspects, Finding { counted, harmful })
     }
--- a/crates/core/src/fleet/local_crashes.rs
+++ b/crates/core/src/fleet/local_crashes.rs
@@ -6,9 +6,10 @@
 //! before the crash. An answer does, since the upstream was up when it received
 //! the request.
 //!
-//! For each suspect the number of crashes is counted, and reported as a whole.
-//! It only rises while the request is not answered, so that a peer learns it
-//! from any report, whichever others it has missed.
+//! For each suspect the number of its copies that crashes have ended is
+//! counted, and reported as a whole. It only rises while the request is not
+//! answered, so that a peer learns it from any report, whichever others it has
+//! missed.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -21,6 +22,10 @@
 /// request, whatever other nodes have counted.
 const LOCAL_LIMIT_COUNT: u32 = 2;
 
+/// Most copies of a request that one crash counts: with so many the request is
+/// harmful.
+const MAX_COPY_COUNT: u32 = 3;
+
 /// How long the suspects of a crash are reported in each datagram.
 const REPORT_PERIOD_MS: u64 = 10_000;
 
@@ -43,9 +48,11 @@
     deadline: Millis,
 }
 
-/// Number of crashes at which a request was running.
+/// Crashes at which a request was running.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct CrashCount {
+    /// Number of its copies that were running.
+    copies: u32,
     crashes: u32,
     latest: Millis,
 }
@@ -53,7 +60,7 @@
 /// The suspects of a crash.
 #[derive(Clone, Debug)]
 pub(super) struct Suspects {
-    /// The requests that may have caused it.
+    /// The requests that may have caused it, each once for each copy.
     pub(super) counted: Vec<Fingerprint>,
     /// The requests that are no suspects, since they were answered recently.
     pub(super) cleared: Vec<Fingerprint>,
@@ -104,7 +111,7 @@
     }
 
     /// Records a crash of the upstream while these requests were running. A
-    /// request is a suspect once for each instance.
+    /// request is a suspect at one crash of an instance.
     pub(super) fn record_crash(
         &mut self,
         running: Vec<Fingerprint>,
@@ -117,17 +124,26 @@
                 all.push(unanswered.request);
             }
         }
-        all.sort();
-        all.dedup();
-        all.retain(|request| !self.counted.contains(request));
-        let (cleared, counted): (Vec<_>, Vec<_>) = all
-            .into_iter()
-            .partition(|&request| answers.contains(request, now));
+        let mut copies: BTreeMap<Fingerprint, u32> = BTreeMap::new();
+        for request in all {
+            if !self.counted.contains(&request) {
+                *copies.entry(request).or_default() += 1;
+            }
+        }
         self.counts.retain(|_, count| count.counts_at(now));
-        for &request in &counted {
-            let new = CrashCount { crashes: 0, latest: now };
+        let (mut counted, mut cleared) = (Vec::new(), Vec::new());
+        for (request, copies) in copies {
+            if answers.contains(request, now) {
+                cleared.push(request);
+                continue;
+            }
+            let copies = copies.min(MAX_COPY_COUNT);
+            let new = CrashCount { copies: 0, crashes: 0, latest: now };
             let count = self.counts.entry(request).or_insert(new);
-            *count = CrashCount { crashes: count.crashes + 1, latest: now };
+            count.copies += copies;
+            count.crashes += 1;
+            count.latest = now;
+            counted.extend(std::iter::repeat_n(request, copies as usize));
         }
         self.drop_excess();
         self.counted.extend(&counted);
@@ -150,8 +166,9 @@
     }
 
     /// The suspects of recent crashes, or of all that count if `complete`. A
-    /// request occurs once for each of its crashes, the recent and earlier
-    /// ones; those with most crashes come first, and of these the latest.
+    /// request occurs once for each of its copies that crashes have ended, the
+    /// recent and earlier ones; those with most come first, and of these the
+    /// latest.
     pub(super) fn report(
         &self,
         complete: bool,
@@ -167,8 +184,8 @@
         reported.sort_unstable();
         let mut report = Vec::new();
         for (count, request) in reported.into_iter().rev() {
-            let crashes = count.crashes as usize;
-            report.extend(std::iter::repeat_n(request, crashes));
+            let copies = count.copies as usize;
+            report.extend(std::iter::repeat_n(request, copies));
         }
         report.truncate(MAX_REPORTED_COUNT);
         report
--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -279,6 +279,53 @@
     }
 }
 
+/// Guards against a request that returns many times at once: each copy that a
+/// crash ends is one that the request has crashed, and the third is known with
+/// the crash rather than two crashes later.
+#[test]
+fn copies_that_end_at_one_crash_count_each() {
+    for (copies, refused) in [(1, false), (2, false), (3, true), (4, true)] {
+        let mut harness = Harness::new();
+        harness.announce(Phase::Ready, 4);
+        harness.fingerprint = Some(HARMFUL);
+        for _ in 0..copies {
+            assert_eq!(dispatches(&harness.peer_request(0, 5_000)), 1);
+        }
+        harness.step(Event::UpstreamDown);
+        let mut reported = reported_suspects(&mut harness);
+        if refused {
+            // A harmful request is named three times more.
+            assert_eq!(reported, [HARMFUL; 6]);
+        }
+        reported.truncate(3);
+        assert_eq!(reported, vec![HARMFUL; copies.min(3)]);
+        harness.announce_instance("u1", 2);
+        let sent = dispatches(&harness.peer_request(0, 5_000)) == 1;
+        assert_eq!(sent, !refused, "{copies}");
+        let mut other = Harness::new();
+        other.fingerprint = Some(HARMFUL);
+        other.gossip_with(1, "k", &reported);
+        let reason = refusal_reason(&mut other);
+        assert_eq!(reason.is_some(), refused, "{copies}");
+    }
+}
+
+/// Guards against a harmless request of which many copies run at a crash: one
+/// that was answered lately is no suspect.
+#[test]
+fn copies_of_an_answered_request_are_no_suspects() {
+    let mut harness = Harness::new();
+    harness.announce(Phase::Ready, 4);
+    harness.fingerprint = Some(HARMFUL);
+    assert_eq!(dispatches(&harness.peer_request(0, 5_000)), 1);
+    harness.upstream_done(1, Ok(200));
+    for _ in 0..4 {
+        assert_eq!(dispatches(&harness.peer_request(0, 5_000)), 1);
+    }
+    harness.step(Event::UpstreamDown);
+    assert_eq!(reported_suspects(&mut harness), []);
+}
+
 /// Guards against a failure that clears a request: an upstream may answer it
 /// with an error before it crashes.
 #[test]
