Take no number above 599 for a status

Cause: the parser accepts statuses from 100 to 999, and an answer with 600 to 999 was passed on to the caller. 000, 099 and what has not three digits were refused already, on all paths. Change: response_head, which reads the answers of upstreams, nodes and the store, refuses them as malformed; the request may have run. Result: an_answer_without_a_valid_status_is_no_answer fails before at 600 and passes after, for ten kinds of status.

--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -25,6 +25,10 @@
 use crate::budget::{Budget, Reservation};
 use crate::message::is_passed_on;
 
+/// Largest status of a response. The parser accepts all numbers from 100 to
+/// 999.
+const MAX_STATUS: u16 = 599;
+
 /// Largest message head: request or status line, and headers.
 pub const MAX_HEAD_BYTES: usize = 32 * 1024;
 
@@ -281,6 +285,10 @@
                     }
                     continue;
                 }
+                Some(head) if head.status.as_u16() > MAX_STATUS => {
+                    let what = format!("{} is no status", head.status);
+                    return Err(WireError::Malformed(what));
+                }
                 Some(head) => return Ok(head),
                 None => {}
             }
