Accept a version that takes an account's last key away

Ruled out: a fault of the operator. The store accepts only valid versions. Change: an account without keys is valid; nobody can use it.

--- a/crates/core/src/fleet/account.rs
+++ b/crates/core/src/fleet/account.rs
@@ -51,8 +51,6 @@
 /// Why an account cannot be added.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum AccountError {
-    /// The account holds no key, so nobody could use it.
-    NoKeys(String),
     /// Two accounts have this name.
     NameTwice(String),
     /// These accounts hold the same key, or one holds it twice.
@@ -62,7 +60,6 @@
 impl fmt::Display for AccountError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::NoKeys(name) => write!(f, "account {name:?} has no keys"),
             Self::NameTwice(name) => {
                 write!(f, "two accounts are named {name:?}")
             }
@@ -90,28 +87,24 @@
 }
 
 impl Accounts {
-    /// Adds an account with its keys.
+    /// Adds an account with its keys. One without keys is valid: its last key
+    /// may have been taken away.
     ///
     /// # Errors
     ///
-    /// Returns an error if the account has no keys, or its name or a key is
-    /// in use.
+    /// Returns an error if a key is in use.
     pub fn add(
         &mut self,
         account: Account,
         keys: impl IntoIterator<Item = KeyDigest>,
     ) -> Result<(), AccountError> {
         let index = self.list.len() as u32;
-        let before = self.keys.len();
         for key in keys {
             let Some(other) = self.keys.insert(key, index) else { continue };
             let other = self.list.get(other as usize).unwrap_or(&account);
             let other = other.name.clone();
             return Err(AccountError::KeyTwice(other, account.name));
         }
-        if self.keys.len() == before {
-            return Err(AccountError::NoKeys(account.name));
-        }
         self.list.push(account);
         Ok(())
     }
