Refuse requests with keys unless the configuration is proved current

Cause: a node that was cut off, frozen or has started again went on serving with keys that a later version had taken away. Change: the module fleet/config_proof, switched on by bounds.revoke_ms where the configuration has accounts. A node serves requests with keys only while it knows that its configuration was the latest one less than that ago; otherwise it refuses them as not run, reason config-stale. Gauge lagoondyke_config_age_seconds; log lines when the proof is lost and regained.

--- a/crates/core/examples/fleet.rs
+++ b/crates/core/examples/fleet.rs
@@ -59,6 +59,7 @@
             drain_ms: Some(2_000.0),
             evacuate_ms: Some(5_000.0),
             config_ms: Some(2_000.0),
+            revoke_ms: None,
             announce_ms: Some(1_000.0),
         },
         log: LogSettings::default(),
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -18,6 +18,7 @@
 mod announce;
 pub mod balance;
 pub mod config;
+mod config_proof;
 mod crash_memory;
 mod documents;
 pub mod effect;
--- a/crates/core/src/fleet/documents.rs
+++ b/crates/core/src/fleet/documents.rs
@@ -250,9 +250,16 @@
             self.apply_domains(names, revision, now, out);
             return;
         }
+        let sent = feed.list_sent;
+        let usable = !items
+            .iter()
+            .any(|item| matches!(item.value, Some(Value::Unusable(_))));
         for item in items {
             self.apply_item(item, false, now, out);
         }
+        if kind == ObjectKind::Config && usable {
+            self.on_config_listed(sent);
+        }
         self.on_table_changed(now, out);
     }
 
--- a/crates/core/src/fleet/effect.rs
+++ b/crates/core/src/fleet/effect.rs
@@ -47,6 +47,14 @@
         /// Kind of the document.
         kind: ObjectKind,
     },
+    /// Ask a peer how long ago its configuration was the latest one; ends with
+    /// `Event::ConfigAge`, or without an event on failure.
+    AskConfigAge {
+        /// Address at which the peer accepts requests.
+        from: SocketAddr,
+        /// When it is asked, which the event repeats.
+        asked: Millis,
+    },
     /// Propose changes to the service's table to a peer.
     Propose {
         /// Address at which the peer accepts requests.
@@ -295,6 +303,12 @@
         /// Name of the upstream.
         id: String,
     },
+    /// The node can prove that its configuration is the latest one, so that it
+    /// serves requests with keys, or no longer can.
+    ConfigProof {
+        /// Whether it can.
+        proved: bool,
+    },
     /// The upstream's report of its exit was refused, since the store has not
     /// taken the node's record in time.
     ExitUnrecorded {
--- a/crates/core/src/fleet/event.rs
+++ b/crates/core/src/fleet/event.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::Millis;
 use crate::fleet::account::KeyDigest;
 use crate::fleet::config::Config;
 use crate::fleet::gossip::Gossip;
@@ -192,6 +193,15 @@
     },
     /// A document arrived from a peer.
     Document(Document),
+    /// A peer has said how long ago its configuration was the latest one.
+    ConfigAge {
+        /// When it was asked.
+        asked: Millis,
+        /// Store revision of the configuration.
+        revision: u64,
+        /// Age of its proof when it answered, in milliseconds.
+        age_ms: u64,
+    },
     /// Another node proposes changes to the service's table.
     Proposal(Box<Proposal>),
     /// The upstream announced itself.
--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::Millis;
 use crate::fleet::config::Config;
+use crate::fleet::config_proof::ConfigProof;
 use crate::fleet::documents::{Feed, VersionedTable};
 use crate::fleet::effect::{Effect, Notice};
 use crate::fleet::event::{Document, Event, Load, ObjectKind, Outcome};
@@ -83,6 +84,7 @@
     /// Announcement whose answer waits until the node has claimed its ranges,
     /// and when it arrived.
     pub(super) waiting_announcement: Option<(Ticket, Millis)>,
+    pub(super) config_proof: ConfigProof,
     pub(super) waiting_exits: WaitingExits,
     pub(super) renewal_count: u64,
     pub(super) gossip_count: u64,
@@ -138,6 +140,7 @@
             .map(|kind| Feed::new(kind, now)),
             renewal: Renewal { due: now, ..Renewal::default() },
             waiting_announcement: None,
+            config_proof: ConfigProof::default(),
             waiting_exits: WaitingExits::new(),
             renewal_count: 0,
             gossip_count: 0,
@@ -158,6 +161,9 @@
             Event::Gossip { from, gossip } => {
                 self.on_gossip(from, *gossip, now, out);
             }
+            Event::ConfigAge { asked, revision, age_ms } => {
+                self.on_config_proof(asked, revision, age_ms);
+            }
             Event::Document(document) => self.on_document(document, now, out),
             Event::Proposal(proposal) => self.on_proposal(*proposal, now, out),
             Event::Announced { ticket, announcement } => {
@@ -255,6 +261,7 @@
         self.list_nodes(now, out);
         self.gossip(now, out);
         self.fetch_missing_documents(now, out);
+        self.renew_config_proof(now, out);
         if now >= self.review_due {
             self.review_due = now.plus(REVIEW_INTERVAL_MS);
             self.track_lost_nodes(now, out);
--- a/crates/core/src/fleet/request/ingress.rs
+++ b/crates/core/src/fleet/request/ingress.rs
@@ -85,6 +85,14 @@
             return Err(Refusal::new(Reason::UnknownService, detail));
         };
         let account = config.authenticate(route, arrival.credential)?;
+        if account.is_some() && !self.is_config_proved(now) {
+            let detail = "the node's configuration may be out of date";
+            return Err(refusal_with_retry(
+                Reason::ConfigStale,
+                detail,
+                RETRY_AFTER_DEFAULT_MS,
+            ));
+        }
         if self.requests.crashes.is_harmful(arrival.fingerprint, now) {
             return Err(harmful_refusal());
         }
--- a/crates/core/src/fleet/settings.rs
+++ b/crates/core/src/fleet/settings.rs
@@ -94,6 +94,10 @@
     pub config_ms: Option<f64>,
     /// Interval between two announcements of an upstream, in milliseconds.
     pub announce_ms: Option<f64>,
+    /// Time after which a key that the configuration no longer has is refused
+    /// by every node, in milliseconds; no limit if absent.
+    #[serde(default)]
+    pub revoke_ms: Option<f64>,
 }
 
 /// Stop period if none is set; the shortest one of the known deployments.
@@ -180,8 +184,15 @@
         self.hold_ms.map_or(u64::MAX, |bound| bound as u64)
     }
 
+    /// Time after which a key that was taken away is refused by every node, in
+    /// milliseconds; `None` if the deployment sets no limit.
+    #[must_use]
+    pub fn revoke_ms(&self) -> Option<u64> {
+        self.revoke_ms.map(|bound| bound as u64)
+    }
+
     /// All limits by name.
-    fn named(&self) -> [(&'static str, Option<f64>); 8] {
+    fn named(&self) -> [(&'static str, Option<f64>); 9] {
         [
             ("stop_s", self.stop_s),
             ("hold_ms", self.hold_ms),
@@ -191,6 +202,7 @@
             ("evacuate_ms", self.evacuate_ms),
             ("config_ms", self.config_ms),
             ("announce_ms", self.announce_ms),
+            ("revoke_ms", self.revoke_ms),
         ]
     }
 }
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -57,6 +57,8 @@
     UnknownService,
     /// No client account holds the key of the request.
     UnknownKey,
+    /// The node cannot prove that its configuration is the latest one.
+    ConfigStale,
     /// No node owns the key at present.
     NoOwner,
     /// This node does not own the key; the ingress locates the owner again.
@@ -140,6 +142,7 @@
             Self::BadRequest => "bad-request",
             Self::UnknownService => "unknown-service",
             Self::UnknownKey => "unknown-key",
+            Self::ConfigStale => "config-stale",
             Self::NoOwner => "no-owner",
             Self::NotOwner => "not-owner",
             Self::Moving => "moving",
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -8,6 +8,7 @@
 
 use lagoondyke_core::clock::{Millis, TICK_INTERVAL_MS};
 use lagoondyke_core::fleet::Fleet;
+use lagoondyke_core::fleet::account::{Account, KeyDigest};
 use lagoondyke_core::fleet::config::{Config, Service};
 use lagoondyke_core::fleet::effect::{Effect, Op};
 use lagoondyke_core::fleet::event::{
@@ -180,6 +181,12 @@
     /// Number of calls to upstreams.
     pub upstream_calls: u32,
     mode: GrantMode,
+    /// Settings of the nodes, but for their names and addresses.
+    revoke_ms: Option<f64>,
+    /// Longest delay of an answer between nodes, in milliseconds.
+    pub answer_delay: u64,
+    /// When each version of the configuration was published.
+    published: Vec<(u64, u64)>,
     /// Whether nodes get no answer when they fetch documents from each other.
     pub documents_lost: bool,
     /// The upstream of each node.
@@ -243,6 +250,7 @@
             evacuate_ms: Some(5_000.0),
             config_ms: Some(2_000.0),
             announce_ms: Some(ANNOUNCE_INTERVAL_MS as f64),
+            revoke_ms: None,
         },
         log: LogSettings::default(),
     }
@@ -270,6 +278,9 @@
             call_faults: CallFaults::default(),
             upstream_calls: 0,
             mode,
+            revoke_ms: None,
+            answer_delay: 1,
+            published: vec![(1, 0)],
             documents_lost: false,
             upstreams: Vec::new(),
             nodes: Vec::new(),
@@ -287,6 +298,13 @@
             updates: (0, 0),
             violations: Vec::new(),
         };
+        sim.add_nodes(count);
+        sim
+    }
+
+    /// Adds nodes with their upstreams, and starts them.
+    fn add_nodes(&mut self, count: usize) {
+        let sim = self;
         for index in 0..count {
             sim.nodes.push(Node {
                 fleet: None,
@@ -310,9 +328,51 @@
             sim.start_upstream(index);
             sim.start_node(index);
         }
+    }
+
+    /// Like [`Simulation::new`]; requests need keys, which are refused
+    /// `revoke_ms` after they were taken away.
+    pub fn with_accounts(count: usize, seed: u64, revoke_ms: u64) -> Self {
+        let mut sim = Self::with_grants(GrantMode::Heartbeat, 0, seed);
+        let key = (ObjectKind::Config, "main".to_owned());
+        let Some((_, Value::Config(config))) = sim.objects.get_mut(&key)
+        else {
+            panic!("a configuration")
+        };
+        let account = Account { name: "a".to_owned(), ..Account::default() };
+        config.accounts.add(account, [KeyDigest(1)]).expect("an account");
+        sim.revoke_ms = Some(revoke_ms as f64);
+        sim.add_nodes(count);
         sim
     }
 
+    /// Versions of the configuration by which nodes would serve requests with
+    /// keys now, although a later one was acknowledged `revoke_ms` ago.
+    pub fn stale_nodes(&self, revoke_ms: u64) -> Vec<usize> {
+        let before = self.now.saturating_sub(revoke_ms);
+        let acknowledged = self.published.iter().filter(|p| p.1 <= before);
+        let required = acknowledged.map(|p| p.0).max().unwrap_or(0);
+        let mut stale = Vec::new();
+        for (index, node) in self.nodes.iter().enumerate() {
+            let Some(fleet) = &node.fleet else { continue };
+            let version = fleet.config().map_or(0, |config| config.version);
+            let runs = node.paused_until <= self.now;
+            if runs && version < required && self.is_proved(index) {
+                stale.push(index);
+            }
+        }
+        stale
+    }
+
+    /// Whether a node serves requests with keys now.
+    pub fn is_proved(&self, index: usize) -> bool {
+        let fleet = self.nodes[index].fleet.as_ref();
+        fleet.is_some_and(|fleet| {
+            fleet.config().is_some()
+                && fleet.is_config_proved(Millis(self.now))
+        })
+    }
+
     /// Whether upstreams are told their ranges in calls.
     pub fn grants_in_calls(&self) -> bool {
         self.mode == GrantMode::Direct
@@ -335,7 +395,8 @@
         let incarnation = node.process * 100 + index as u64;
         // Its connections have ended with the earlier process.
         node.connected_to = 0;
-        let settings = Settings { grants: self.mode, ..settings(index) };
+        let mut settings = Settings { grants: self.mode, ..settings(index) };
+        settings.bounds.revoke_ms = self.revoke_ms;
         node.fleet = Some(Fleet::new(settings, incarnation, seed, now));
         let process = node.process;
         self.schedule_after(0, Task::Event(index, process, Event::Tick));
@@ -398,6 +459,7 @@
         self.revision += 1;
         let entry = (self.revision, Value::Config(Box::new(config)));
         self.objects.insert(key, entry);
+        self.published.push((version, self.now));
     }
 
     /// Takes a failure domain out of service, as the operator does.
@@ -588,6 +650,21 @@
                     );
                 }
             }
+            Effect::AskConfigAge { from, asked } => {
+                let std::net::IpAddr::V4(ip) = from.ip() else { return };
+                let other = usize::from(ip.octets()[3]) - 1;
+                let node = &self.nodes[other];
+                let reached = self.nodes[index].connected && node.connected;
+                let fleet = node.fleet.as_ref().filter(|_| reached);
+                let now = Millis(self.now);
+                let age_ms = fleet.and_then(|f| f.config_age_ms(now));
+                let Some(age_ms) = age_ms else { return };
+                let revision = fleet.map_or(0, Fleet::config_revision);
+                let event = Event::ConfigAge { asked, revision, age_ms };
+                // A slow answer is as old as it is slow.
+                let span = MESSAGE_DELAY_MS + self.random(self.answer_delay);
+                self.schedule_after(span, Task::Event(index, process, event));
+            }
             Effect::Relay { to, call, op } => {
                 let std::net::IpAddr::V4(ip) = to.ip() else { return };
                 let other = usize::from(ip.octets()[3]) - 1;
--- a/crates/node/src/fleet/metrics.rs
+++ b/crates/node/src/fleet/metrics.rs
@@ -129,6 +129,16 @@
         });
     }
 
+    /// Sets the time since which the configuration may have been replaced, if
+    /// it is known.
+    pub fn set_config_age(&self, age_ms: Option<u64>) {
+        let Some(age_ms) = age_ms else { return };
+        metrics::with_local_recorder(&self.recorder, || {
+            gauge!("lagoondyke_config_age_seconds")
+                .set(age_ms as f64 / 1_000.0);
+        });
+    }
+
     /// Counts an input from `source` that could not be decoded.
     pub fn malformed(&self, source: &'static str) {
         metrics::with_local_recorder(&self.recorder, || {
--- a/crates/node/src/fleet/notice_log.rs
+++ b/crates/node/src/fleet/notice_log.rs
@@ -206,6 +206,14 @@
             Notice::UpstreamStarted { id } => {
                 slog::info!(log, "upstream announced itself"; "id" => id);
             }
+            Notice::ConfigProof { proved: true } => {
+                slog::info!(log, "requests with keys are served";
+                    "reason" => "the configuration is proved current");
+            }
+            Notice::ConfigProof { proved: false } => {
+                slog::warn!(log, "requests with keys are refused";
+                    "reason" => "the configuration may be out of date");
+            }
             Notice::ExitUnrecorded { id } => {
                 slog::warn!(log, "exit of the upstream not acknowledged";
                     "id" => id, "reason" => "its record is not stored");
--- a/crates/node/src/fleet/peers.rs
+++ b/crates/node/src/fleet/peers.rs
@@ -18,6 +18,7 @@
 use lagoondyke_core::verdict::{Reason, Refusal};
 use monoio::time::timeout;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 
 use crate::clock;
 use crate::fleet::message::{
@@ -62,6 +63,19 @@
 /// Path prefix of documents, followed by [`kind_name`].
 pub const DOCUMENTS_PATH: &str = "/lagoondyke/documents/";
 
+/// Path at which a node tells others how long ago its configuration was the
+/// latest one.
+pub const AGE_PATH: &str = "/lagoondyke/config-age";
+
+/// How long ago a node's configuration was the latest one.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct ConfigAge {
+    /// Store revision of the configuration.
+    pub revision: u64,
+    /// Age of the proof, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// A client of other nodes. Clones share its connections.
 #[derive(Clone, Debug)]
 pub struct PeerClient {
@@ -236,6 +250,14 @@
         serde_json::from_slice(&response.body).ok()
     }
 
+    /// Asks another node how long ago its configuration was the latest one;
+    /// `None` on failure, or if it does not know.
+    pub async fn config_age(&self, from: SocketAddr) -> Option<ConfigAge> {
+        let response =
+            self.control_call(from, Method::GET, AGE_PATH, Bytes::new());
+        serde_json::from_slice(&response.await?.body).ok()
+    }
+
     /// Proposes changes to a table to another node. Reports no result: the
     /// table itself shows whether they were applied.
     pub async fn propose(&self, to: SocketAddr, proposal: &Proposal) {
--- a/crates/node/src/fleet/server.rs
+++ b/crates/node/src/fleet/server.rs
@@ -29,8 +29,8 @@
     REFUSAL_HEADER, Reply,
 };
 use crate::fleet::peers::{
-    DOCUMENTS_PATH, PROPOSALS_PATH, STORE_PATH, WITHDRAWALS_PATH, encode_load,
-    json_header, kind_from_name,
+    AGE_PATH, DOCUMENTS_PATH, PROPOSALS_PATH, STORE_PATH, WITHDRAWALS_PATH,
+    encode_load, json_header, kind_from_name,
 };
 use crate::fleet::ports::RequestMeta;
 use crate::fleet::shell::{Shell, UnwrittenGuard};
@@ -310,6 +310,9 @@
         {
             return Err(Box::new(self.document(name)));
         }
+        if self.source == Source::Peer && path == AGE_PATH {
+            return Err(Box::new(self.config_age()));
+        }
         if self.source == Source::Peer && path == WITHDRAWALS_PATH {
             return Err(Box::new(self.withdrawal(&body)));
         }
@@ -402,6 +405,18 @@
         Response { status, headers, body: body.into() }
     }
 
+    /// Says how long ago the configuration was the latest one.
+    fn config_age(&self) -> Response {
+        let age = self.shell.config_age();
+        let Some(body) = age.and_then(|age| serde_json::to_vec(&age).ok())
+        else {
+            let detail = "the age of the configuration is not known";
+            return text_response(StatusCode::NOT_FOUND, detail);
+        };
+        let (status, headers) = (StatusCode::OK, HeaderMap::new());
+        Response { status, headers, body: body.into() }
+    }
+
     /// Responds to a malformed or oversized request and ends the connection.
     async fn reject(
         &self,
--- a/crates/node/src/fleet/shell.rs
+++ b/crates/node/src/fleet/shell.rs
@@ -26,7 +26,7 @@
 use crate::fleet::message::{Answer, Call, Reply};
 use crate::fleet::metrics::Metrics;
 use crate::fleet::notice_log::NoticeLog;
-use crate::fleet::peers::PeerClient;
+use crate::fleet::peers::{ConfigAge, PeerClient};
 use crate::fleet::ports::{Dialect, Store};
 use crate::fleet::upstream::{Dispatch, KeyCall, UpstreamClient};
 
@@ -212,6 +212,16 @@
         fleet.config().is_some_and(|config| !config.accounts.is_empty())
     }
 
+    /// How long ago the configuration in force was the latest one, for a peer
+    /// that asks; `None` if that is not known.
+    #[must_use]
+    pub fn config_age(&self) -> Option<ConfigAge> {
+        let fleet = self.inner.fleet.borrow();
+        let age_ms = fleet.config_age_ms(clock::since_boot())?;
+        let revision = fleet.config_revision();
+        Some(ConfigAge { revision, age_ms })
+    }
+
     /// The document of this kind, for a peer that fetches it; `None` if this
     /// node has none.
     #[must_use]
@@ -234,6 +244,8 @@
         self.inner.metrics.set_key_calls(calls, oldest_ms);
         let version = fleet.config().map_or(0, |config| config.version);
         self.inner.metrics.set_config(version, fleet.config_revision());
+        let age_ms = fleet.config_age_ms(clock::since_boot());
+        self.inner.metrics.set_config_age(age_ms);
         self.inner.metrics.render()
     }
 
@@ -359,6 +371,17 @@
                     }
                 });
             }
+            Effect::AskConfigAge { from, asked } => {
+                let shell = self.clone();
+                monoio::spawn(async move {
+                    let age = shell.inner.peers.config_age(from).await;
+                    if let Some(ConfigAge { revision, age_ms }) = age {
+                        let event =
+                            Event::ConfigAge { asked, revision, age_ms };
+                        shell.post(event);
+                    }
+                });
+            }
             Effect::Relay { to, call, op } => {
                 let shell = self.clone();
                 monoio::spawn(async move {
--- a/crates/node/src/problem.rs
+++ b/crates/node/src/problem.rs
@@ -66,6 +66,7 @@
         Reason::BadRequest => "Malformed request",
         Reason::UnknownService => "Unknown service",
         Reason::UnknownKey => "Unknown key",
+        Reason::ConfigStale => "Configuration may be out of date",
         Reason::NoOwner => "No owner",
         Reason::NotOwner => "Not the owner",
         Reason::Moving => "Key is moving",
