Keep repeats within a budget for each service, and divide the slack

Cause: a node had one retry budget for all services, and up to ten repeats at once. Ruled out: that calls were repeated more often than their routes' attempts. Change: the module fleet/retries, a bucket for each service with the node's part of the slack.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -40,6 +40,7 @@
 mod reducer;
 mod renewal;
 pub mod request;
+mod retries;
 pub mod rules;
 pub mod settings;
 pub mod table;
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -18,9 +18,9 @@
 use crate::fleet::occupancy::Occupancy;
 use crate::fleet::queue::Queue;
 use crate::fleet::reducer::Fleet;
+use crate::fleet::retries::Retries;
 use crate::fleet::warmup::RateWindow;
 use crate::id::{Fingerprint, Ticket};
-use crate::request::retry::RetryBudget;
 use crate::verdict::{Reason, Refusal, Verdict};
 
 /// Assumed mean run time of a request before any has ended.
@@ -50,10 +50,6 @@
 /// route, so that a few callers with long limits are forgotten.
 const LONGEST_BUDGET_WEIGHT_RATIO: f64 = 0.002;
 
-/// Percentage of the allowed retry share that is used. Retried requests make
-/// calls of their own, which count as retries as well.
-const RETRY_USE_PERCENT: f64 = 50.0;
-
 /// Shortest and longest wait that a refused caller is told.
 const RETRY_AFTER_RANGE_MS: (u64, u64) = (100, 1_000);
 
@@ -128,7 +124,7 @@
     /// capacity of the upstream is derived.
     slow_mean: f64,
     success_ratio: f64,
-    retries: RetryBudget,
+    retries: Retries,
     pub(super) crashes: CrashMemory,
     /// Credit of each weighted target, by route, for smooth weighted
     /// round-robin.
@@ -140,8 +136,6 @@
 
 impl Requests {
     pub(super) fn new(share: f64, slack: f64) -> Self {
-        let percent = (share * RETRY_USE_PERCENT).round();
-        let burst = (slack / 20.0).clamp(1.0, 10.0);
         Self {
             entries: BTreeMap::new(),
             queue: Queue::default(),
@@ -151,7 +145,7 @@
             mean_ms: INITIAL_MEAN_MS,
             slow_mean: INITIAL_MEAN_MS,
             success_ratio: 1.0,
-            retries: RetryBudget::new(percent as u32, burst as u32),
+            retries: Retries::new(share, slack),
             crashes: CrashMemory::new(),
             route_credits: HashMap::new(),
             longest_budget: HashMap::new(),
@@ -288,6 +282,8 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
+        let nodes = 1 + self.directory.iter().count();
+        self.requests.retries.set_node_count(nodes);
         let mut expired = Vec::new();
         let mut stranded = Vec::new();
         let least = (self.requests.mean_ms * MIN_TIME_LEFT_RATIO) as u64;
--- a/crates/core/src/fleet/request/ingress.rs
+++ b/crates/core/src/fleet/request/ingress.rs
@@ -50,7 +50,7 @@
             Source::Peer => self.on_peer_request(arrival, now, out),
             Source::Caller => match self.accept_caller(&arrival, now) {
                 Ok(entry) => {
-                    self.requests.retries.deposit();
+                    self.requests.retries.deposit(&entry.order.service);
                     self.requests.entries.insert(ticket, entry);
                     self.place(ticket, now, out);
                 }
@@ -495,7 +495,7 @@
         let has_time = entry.deadline.since(now) > mean;
         if entry.attempts == 0
             || !has_time
-            || !self.requests.retries.try_withdraw()
+            || !self.requests.retries.try_withdraw(&entry.order.service)
         {
             return false;
         }
--- a/crates/core/src/request/retry.rs
+++ b/crates/core/src/request/retry.rs
@@ -42,6 +42,12 @@
         Self { percent, max_credit, credit: max_credit }
     }
 
+    /// Has the budget hold `burst` attempts at most from now on.
+    pub fn set_burst(&mut self, burst: u32) {
+        self.max_credit = burst * 100;
+        self.credit = self.credit.min(self.max_credit);
+    }
+
     /// Adds the credit for a first attempt.
     pub fn deposit(&mut self) {
         self.credit = (self.credit + self.percent).min(self.max_credit);
