Ignore an age of the configuration that cannot be

Cause: the age that a peer answers was extended for drift before it was checked, and overflowed for ages near the largest integer: a debug build ends, a release build may take it for a small one. Change: an age beyond the time since the VM's boot proves nothing. Result: no_age_of_the_configuration_ends_the_process fails before.

--- a/crates/core/src/fleet/config_proof.rs
+++ b/crates/core/src/fleet/config_proof.rs
@@ -96,6 +96,9 @@
         revision: u64,
         age_ms: u64,
     ) {
+        if age_ms > asked.0 {
+            return;
+        }
         if self.config.is_none() || self.versions.config < revision {
             // The document arrives by itself; the next answer proves it.
             return;
--- a/crates/core/tests/fleet/malformed.rs
+++ b/crates/core/tests/fleet/malformed.rs
@@ -1,6 +1,7 @@
 //! Messages with values that no sound sender produces: they must not end the
 //! process or make it unable to serve.
 
+use lagoondyke_core::clock::Millis;
 use lagoondyke_core::fleet::config::{Config, Limits, Route, Service, Target};
 use lagoondyke_core::fleet::event::{
     Call, Document, Event, Item, ObjectKind, Outcome, StoreOutcome, Value,
@@ -345,6 +346,36 @@
     }
 }
 
+/// Guards against an answer about the configuration's age, or a report of an
+/// exit, that ends the process, and against an age that overflows and proves
+/// more than it says.
+#[test]
+fn no_age_of_the_configuration_ends_the_process() {
+    let mut random = Pcg64Mcg::seed_from_u64(9);
+    let mut harness = Harness::new();
+    for count in 0..MESSAGE_COUNT {
+        harness.now += random.random_range(0..300);
+        let asked = Millis(random.random_range(0..=harness.now));
+        let age_ms = match count % 3 {
+            0 => number(&mut random),
+            1 => u64::MAX - number(&mut random),
+            _ => u64::MAX / 41 * random.random_range(0..41),
+        };
+        let revision = number(&mut random);
+        let before = harness.config_age_ms();
+        harness.step(Event::ConfigAge { asked, revision, age_ms });
+        if age_ms > harness.now {
+            assert_eq!(harness.config_age_ms(), before, "{age_ms}");
+        }
+        let id = name(&mut random);
+        let ticket = Ticket(1 << 50 | count);
+        harness.step(Event::UpstreamLeft { ticket, id });
+        let now = harness.now;
+        harness = Harness::new();
+        harness.now = now;
+    }
+}
+
 /// Guards against a peer that no longer gets requests since one of its
 /// datagrams had a count beyond all later ones.
 #[test]
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -70,6 +70,11 @@
         Self::started(settings(0), incarnation).configured()
     }
 
+    /// How long ago the configuration was known to be the latest one.
+    pub fn config_age_ms(&self) -> Option<u64> {
+        self.fleet.config_age_ms(Millis(self.now))
+    }
+
     /// A node that knows another node of the service "s".
     pub fn new_with_peer() -> Self {
         let mut harness = Self::new();
