--- /dev/null
+++ b/review/standin-2/src/cold.rs
@@ -0,0 +1,116 @@
+//! A server becomes cold again while it runs, and says so in its next
+//! heartbeat and at its health path.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use crate::clients::Clients;
+use crate::configuration;
+use crate::fleet::{Fleet, Terms};
+use crate::record::Record;
+use crate::server::{Ledger, Plan, Run, Server, lock};
+use crate::store::Store;
+
+const SERVICE: &str = "xano55b";
+const BEAT_MS: u64 = 1_500;
+const COLD_PER_S: f64 = 26.0;
+
+/// Requests that a cold server may get in a second (RULES.md, FAILBACK):
+/// `warmup_per_s` x `warmup_overshoot` + `warmup_slack`.
+const MOST_PER_S: f64 = COLD_PER_S * 1.5 + 5.0;
+
+/// Time for which a server is cold (`warmup_s`).
+const COLD_MS: u64 = 3_000;
+
+pub fn run(program: &Path, folder: &Path, trouble: bool) -> bool {
+    let record = Arc::new(Record::create(folder));
+    let (store, store_addr) = Store::start(&record);
+    let config = configuration(7, SERVICE, false, "non_idempotent");
+    store.operate("config", "main", config);
+    let terms = Terms {
+        beat_ms: BEAT_MS,
+        drain_ms: 2_000,
+        evacuate_ms: 5_000,
+        config_ms: 2_000,
+    };
+    let zones = ["aarhus", "vejle", "viborg"];
+    let fleet = Fleet::new(
+        program,
+        store_addr,
+        &[SERVICE; 3],
+        &zones,
+        &terms,
+        &record,
+    );
+    let ledger = Ledger::start(&record);
+    let mut servers = Vec::new();
+    for (index, machine) in fleet.machines.iter().enumerate() {
+        fleet.start(index);
+        let plan = Plan {
+            id: format!("i-{index}"),
+            service: machine.service.clone(),
+            zone: machine.zone.clone(),
+            addr: machine.server,
+            node: machine.control,
+            keyed: false,
+            slots: 18,
+            beat_ms: BEAT_MS,
+            work_ms: 110,
+            cold_per_s: COLD_PER_S,
+        };
+        servers.push(Server::start(plan, &ledger));
+        thread::sleep(Duration::from_millis(BEAT_MS / 3));
+    }
+    fleet.wait_ready();
+    thread::sleep(Duration::from_secs(2));
+    let clients = Clients::new(&record);
+    for machine in &fleet.machines {
+        clients.run(14, machine.callers, "POST /lohu930/2f", 20, |_| None);
+    }
+    thread::sleep(Duration::from_secs(6));
+    // Right after a heartbeat: the next one is a whole interval away.
+    let beats = servers[1].beats.load(Ordering::Relaxed);
+    while servers[1].beats.load(Ordering::Relaxed) == beats {
+        thread::sleep(Duration::from_millis(5));
+    }
+    thread::sleep(Duration::from_millis(100));
+    if trouble {
+        servers[1].turn_cold(COLD_MS);
+    }
+    thread::sleep(Duration::from_secs(6));
+    clients.ended.store(true, Ordering::Relaxed);
+    thread::sleep(Duration::from_secs(3));
+    fleet.end();
+
+    let runs = lock(&ledger.runs);
+    let cold: Vec<&Run> = runs.iter().filter(|run| run.cold).collect();
+    let within = |from: u64| -> usize {
+        let span = from..from + 1_000;
+        cold.iter().filter(|run| span.contains(&run.at)).count()
+    };
+    let most = cold.iter().map(|run| within(run.at)).max().unwrap_or(0);
+    if most as f64 > MOST_PER_S {
+        ledger.broke(format!(
+            "FAILBACK: a cold server gets {most} requests in one second; \
+             {MOST_PER_S} are allowed"
+        ));
+    }
+    let answered = lock(&clients.answered);
+    let with = |status| answered.iter().filter(|s| s.status == status).count();
+    let broken = lock(&ledger.broken).len();
+    record.show(&format!(
+        "{} requests, answered 200: {}, 502: {}, 503: {}; {} runs, {} of them \
+         cold, {most} cold ones at most in a second; broken rules: {broken}",
+        answered.len(),
+        with(200),
+        with(502),
+        with(503),
+        runs.len(),
+        cold.len()
+    ));
+    record.flush();
+    broken > 0
+}
