--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -106,12 +106,30 @@
 /// answer.
 pub trait Handler: Send + Sync + 'static {
     fn handle(&self, request: &Message) -> Option<Message>;
+
+    /// Whether the server is up. One that is not refuses connections.
+    fn is_up(&self) -> bool {
+        true
+    }
 }
 
-/// Serves each connection on a thread of its own until the process ends.
+/// Interval at which a server looks for new connections.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Serves each connection on a thread of its own, until the process ends or
+/// the handler is down. Then all connections break.
 pub fn serve(listener: TcpListener, handler: Arc<impl Handler>) {
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        let _ = listener.set_nonblocking(true);
+        let mut open: Vec<TcpStream> = Vec::new();
+        while handler.is_up() {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(ACCEPT_INTERVAL);
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
+            open.retain(|old| old.peer_addr().is_ok());
+            open.extend(stream.try_clone());
             let handler = Arc::clone(&handler);
             let builder = thread::Builder::new().stack_size(256 * 1024);
             let _ = builder.spawn(move || {
@@ -119,6 +137,10 @@
                 let _ = stream.shutdown(Shutdown::Both);
             });
         }
+        drop(listener);
+        for stream in open {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
     });
 }
 
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -547,6 +547,10 @@
 }
 
 impl Handler for Server {
+    fn is_up(&self) -> bool {
+        self.up.load(Ordering::Relaxed)
+    }
+
     fn handle(&self, request: &Message) -> Option<Message> {
         if !self.up.load(Ordering::Relaxed) {
             return None;
