review: two holders after a kill and a late heartbeat; a server cold

Cause: a process that starts drops its assumption that all keys may be held at the first announcement, whoever it names. A cold server is known by the next heartbeat only.

--- a/review/standin-2/src/cold.rs
+++ b/review/standin-2/src/cold.rs
@@ -88,9 +88,14 @@
     }
     thread::sleep(Duration::from_secs(6));
     // Right after a heartbeat: the next one is a whole interval away.
-    let beats = servers[1].beats.load(Ordering::Relaxed);
-    while servers[1].beats.load(Ordering::Relaxed) == beats {
-        thread::sleep(Duration::from_millis(5));
+    loop {
+        let beats = servers[1].beats.load(Ordering::Relaxed);
+        while servers[1].beats.load(Ordering::Relaxed) == beats {
+            thread::sleep(Duration::from_millis(5));
+        }
+        if !servers[1].releasing.load(Ordering::Relaxed) {
+            break;
+        }
     }
     thread::sleep(Duration::from_millis(100));
     if trouble {
--- a/review/standin-2/src/late.rs
+++ b/review/standin-2/src/late.rs
@@ -19,13 +19,13 @@
 
 /// Time by which the heartbeats of i-1 come after those of the server beside
 /// the first node; those of i-2 come a quarter of it later.
-const BEAT_SHIFT: Duration = Duration::from_millis(650);
+const BEAT_SHIFT: Duration = Duration::from_millis(600);
 
 /// Time limit for a server to release its keys, or to get some.
 const MOVE_LIMIT: Duration = Duration::from_secs(20);
 
 /// Time after which a killed process is started again.
-const RESTART_DELAY: Duration = Duration::from_millis(200);
+const RESTART_DELAY: Duration = Duration::from_millis(100);
 
 /// Time for which a node that starts has not opened its addresses.
 const START_LIMIT: Duration = Duration::from_secs(5);
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -205,6 +205,8 @@
     /// Cleared when the server ends.
     up: AtomicBool,
     pub beats: AtomicU64,
+    /// Whether the next heartbeat follows soon, as keys are being released.
+    pub releasing: AtomicBool,
 }
 
 impl Server {
@@ -228,6 +230,7 @@
             state: Mutex::new(state),
             up: AtomicBool::new(true),
             beats: AtomicU64::new(0),
+            releasing: AtomicBool::new(false),
         });
         lock(&ledger.servers).push(Arc::clone(&server));
         http::serve(listener, Arc::clone(&server));
@@ -344,6 +347,8 @@
     fn beat_for_good(&self) {
         while self.up.load(Ordering::Relaxed) {
             let releasing = self.beat();
+            self.releasing.store(releasing, Ordering::Relaxed);
+            self.beats.fetch_add(1, Ordering::Relaxed);
             let pause = if releasing { RELEASE_BEAT_MS } else { self.plan.beat_ms };
             thread::sleep(Duration::from_millis(pause));
         }
@@ -356,7 +361,6 @@
         let (body, reported) = self.beat_body(sent);
         let request = self.beat_message(body);
         let reply = http::call_once(self.plan.node, BEAT_LIMIT, &request);
-        self.beats.fetch_add(1, Ordering::Relaxed);
         let now = self.now();
         let Ok(reply) = reply else { return false };
         let late = now - sent > BEAT_LIMIT.as_millis() as u64;
