--- a/crates/core/examples/fleet.rs
+++ b/crates/core/examples/fleet.rs
@@ -280,7 +280,8 @@
         let (name, revision) = ("k".to_owned(), self.revision);
         let items = vec![Item { name, revision, value }];
         let outcome = StoreOutcome::Changed { items, revision };
-        let call = Call::Watch(ObjectKind::Tables);
+        let after = self.revision - 1;
+        let call = Call::Watch { kind: ObjectKind::Tables, after };
         self.step(Event::StoreDone { call, outcome });
     }
 }
--- a/crates/core/src/fleet/announce.rs
+++ b/crates/core/src/fleet/announce.rs
@@ -5,6 +5,7 @@
 use crate::fleet::reducer::Fleet;
 use crate::fleet::rules;
 use crate::fleet::settings::GrantMode;
+use crate::fleet::table::Range;
 use crate::fleet::upstream::{
     Announcement, Grant, Granted, MAX_GRANT_MS, Recency,
 };
@@ -64,7 +65,7 @@
             self.call_upstream(now, out);
             return;
         }
-        if self.is_claiming() && self.upstream.is_ready() {
+        if self.is_claiming(now) && self.upstream.is_ready() {
             self.answer_waiting_announcement(now, out);
             self.waiting_announcement = Some((ticket, now));
             return;
@@ -98,11 +99,14 @@
 
     /// Whether the node has yet to claim its ranges for the current instance
     /// of its upstream.
-    pub(super) fn is_claiming(&self) -> bool {
+    pub(super) fn is_claiming(&self, now: Millis) -> bool {
         let service = &self.settings.service;
         let Some(stored) = self.tables.get(service) else {
             return self.config.is_none() || !self.are_tables_current();
         };
+        if !self.is_claimed() && self.right_ms(now) > 0 {
+            return false;
+        }
         let instance = self.upstream.instance();
         let mut own = stored.table.ranges_of(&self.settings.node);
         !self.is_claimed()
@@ -128,7 +132,8 @@
         out: &mut Vec<Effect>,
     ) {
         let Some((_, since)) = self.waiting_announcement else { return };
-        if !self.is_claiming() || now.since(since) >= MAX_ANNOUNCEMENT_WAIT_MS
+        if !self.is_claiming(now)
+            || now.since(since) >= MAX_ANNOUNCEMENT_WAIT_MS
         {
             self.answer_waiting_announcement(now, out);
         }
@@ -159,7 +164,7 @@
 
     /// The ranges that the upstream is to hold from now on.
     pub(super) fn grant(&mut self, now: Millis) -> Grant {
-        let remaining_ms = self.lease.remaining_ms(now);
+        let remaining_ms = self.right_ms(now);
         let longest_grant = MAX_GRANT_MS.min(self.settings.bounds.hold_ms());
         let hold_ms = rules::grant_duration_ms(remaining_ms, longest_grant);
         if hold_ms == 0 {
@@ -172,34 +177,35 @@
     /// The ranges that the upstream is to hold; `None` while the node may
     /// grant none.
     pub(super) fn granted_ranges(&self, now: Millis) -> Option<Vec<Granted>> {
-        let remaining_ms = self.lease.remaining_ms(now);
-        let stored = self.tables.get(&self.settings.service)?;
-        if !rules::may_grant(self.claimed_term(), self.term, remaining_ms) {
-            return None;
-        }
+        let granted = self.grantable_ranges(now)?.into_iter().map(|range| {
+            let Range { first, last, fence, handover, .. } = range;
+            // The upstream needs the token only until it holds the range.
+            let handover =
+                handover.filter(|_| !self.upstream.holds(first, now));
+            Granted { first, last, fence, handover }
+        });
+        Some(granted.collect())
+    }
+
+    /// The parts of the node's ranges that the present instance of its upstream
+    /// is to hold; `None` while the node may grant none.
+    pub(super) fn grantable_ranges(&self, now: Millis) -> Option<Vec<Range>> {
+        let owned = self.owned_ranges(now)?;
         let serving = self.is_serving(now);
-        let mut granted = Vec::new();
-        for range in stored.table.ranges_of(&self.settings.node) {
+        let mut grantable = Vec::new();
+        for range in owned {
             if !serving || range.instance.as_ref() != self.upstream.instance()
             {
                 continue;
             }
             let unmoved = self.moves.unmoved(range.first, range.last);
-            granted.extend(unmoved.into_iter().map(|(first, last)| {
-                Granted {
-                    first,
-                    last,
-                    fence: range.fence,
-                    // The upstream needs the token only until it holds the
-                    // range.
-                    handover: range
-                        .handover
-                        .clone()
-                        .filter(|_| !self.upstream.holds(first, now)),
-                }
+            grantable.extend(unmoved.into_iter().map(|(first, last)| Range {
+                first,
+                last,
+                ..range.clone()
             }));
         }
-        Some(granted)
+        Some(grantable)
     }
 
     pub(super) fn on_upstream_down(
--- a/crates/core/src/fleet/config_proof.rs
+++ b/crates/core/src/fleet/config_proof.rs
@@ -81,25 +81,28 @@
     }
 
     /// Records that the store has listed the configuration in force in answer
-    /// to a call that was sent at `sent`.
+    /// to a call that was sent at `sent`. After a restore the store may hold an
+    /// earlier one than other nodes do, until the operator writes it again.
     pub(super) fn on_config_listed(&mut self, sent: Millis) {
-        if self.config.is_some() {
+        let ours = self.versions.config;
+        let heard = self.feed(ObjectKind::Config).map_or(0, |f| f.heard);
+        if self.config.is_some() && heard <= ours {
             self.config_proof.confirm(sent);
         }
     }
 
-    /// Records the answer to a question that was sent at `asked`: `revision`
-    /// was the latest one at most `age_ms` before the answer.
+    /// Records the answer to a question that was sent at `asked`: `version` was
+    /// the latest one at most `age_ms` before the answer.
     pub(super) fn on_config_proof(
         &mut self,
         asked: Millis,
-        revision: u64,
+        version: u64,
         age_ms: u64,
     ) {
         if age_ms > asked.0 {
             return;
         }
-        if self.config.is_none() || self.versions.config < revision {
+        if self.config.is_none() || self.versions.config < version {
             // The document arrives by itself; the next answer proves it.
             return;
         }
--- a/crates/core/src/fleet/documents.rs
+++ b/crates/core/src/fleet/documents.rs
@@ -10,6 +10,7 @@
 use crate::fleet::event::{Call, Item, ObjectKind, StoreOutcome, Value};
 use crate::fleet::gossip::Versions;
 use crate::fleet::reducer::Fleet;
+use crate::fleet::revision::{era_of, number_of, qualify};
 use crate::fleet::settings::Settings;
 use crate::fleet::table::Table;
 
@@ -67,9 +68,11 @@
     pub(super) fetch_due: Option<Millis>,
     /// Number of fetches since a peer was found to have a later version.
     pub(super) fetches: u32,
-    /// Highest revision that gossip has shown.
+    /// Highest version that gossip has shown.
     pub(super) heard: u64,
-    /// Store revision of the latest listing.
+    /// The value of `heard` when the latest listing was sent.
+    list_heard: u64,
+    /// Version up to which the latest listing cannot have missed a change.
     listed: u64,
 }
 
@@ -87,10 +90,20 @@
             fetch_due: None,
             fetches: 0,
             heard: 0,
+            list_heard: 0,
             listed: 0,
         }
     }
 
+    /// Starts again after a restore of the store: with a listing, and without
+    /// the watch, since the revision that it follows no longer means the same.
+    pub(super) fn begin_era(&mut self, now: Millis) {
+        self.revision = None;
+        self.current = false;
+        self.watching = false;
+        (self.retry_due, self.failures) = (now, 0);
+    }
+
     /// Requests a listing if gossip has shown a revision that is later than
     /// `ours` and that no listing can have missed.
     pub(super) fn list_if_behind(&mut self, ours: u64) {
@@ -124,6 +137,7 @@
                 feed.listing = true;
                 feed.current = true;
                 feed.list_sent = now;
+                feed.list_heard = feed.heard;
                 let call = Call::List(kind);
                 out.push(Effect::Store { call, op: Op::List { kind } });
             }
@@ -132,7 +146,7 @@
                 continue;
             }
             feed.watching = true;
-            let call = Call::Watch(kind);
+            let call = Call::Watch { kind, after };
             let op = Op::Watch { kind, after, wait_ms: MAX_WATCH_WAIT_MS };
             out.push(Effect::Store { call, op });
         }
@@ -193,6 +207,11 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
+        let outcome = if self.accepts_era(&outcome, now, out) {
+            outcome
+        } else {
+            StoreOutcome::Unknown
+        };
         if let Call::Relayed(_) = call {
             // Peers only read and write this node's own record for it.
             self.on_renewed(outcome, now, out);
@@ -212,7 +231,12 @@
         match call {
             Call::List(ObjectKind::Nodes) => self.on_node_list(outcome, now),
             Call::List(kind) => self.on_listed(kind, outcome, now, out),
-            Call::Watch(kind) => self.on_changed(kind, outcome, now, out),
+            Call::Watch { kind, after } => {
+                // It followed a revision of an earlier era.
+                if era_of(after) == self.restore.era() {
+                    self.on_changed(kind, outcome, now, out);
+                }
+            }
             Call::Renew | Call::ReadRecord => {
                 self.on_renewed(outcome, now, out);
                 self.answer_exits(now, out);
@@ -242,7 +266,10 @@
             return;
         };
         feed.failures = 0;
-        feed.listed = revision;
+        feed.listed = match kind {
+            ObjectKind::Config => feed.list_heard,
+            _ => revision,
+        };
         feed.revision = Some(feed.revision.unwrap_or(0).max(revision));
         if kind == ObjectKind::Domains {
             let names = items.into_iter().map(|item| item.name);
@@ -255,7 +282,7 @@
             .iter()
             .any(|item| matches!(item.value, Some(Value::Unusable(_))));
         for item in items {
-            self.apply_item(item, false, now, out);
+            self.apply_item(item, now, out);
         }
         if kind == ObjectKind::Config && usable {
             self.on_config_listed(sent);
@@ -307,12 +334,12 @@
         }
         if kind != ObjectKind::Domains {
             for item in items {
-                self.apply_item(item, false, now, out);
+                self.apply_item(item, now, out);
             }
             self.on_table_changed(now, out);
             return;
         }
-        let mut names = self.domains_out.clone();
+        let mut names = self.domains_listed.clone();
         for item in items {
             match item.value {
                 Some(_) => names.insert(item.name),
@@ -326,14 +353,13 @@
     pub(super) fn apply_item(
         &mut self,
         item: Item,
-        relayed: bool,
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
         let revision = item.revision;
         match item.value {
             Some(Value::Config(config)) => {
-                self.apply_config(*config, revision, relayed, out);
+                self.apply_config(*config, Some(revision), out);
             }
             Some(Value::Table(table)) => {
                 self.apply_table(item.name, table, revision, now, out);
@@ -346,20 +372,22 @@
         }
     }
 
+    /// Applies a configuration of this store revision, or of a peer.
     pub(super) fn apply_config(
         &mut self,
         config: Config,
-        revision: u64,
-        relayed: bool,
+        revision: Option<u64>,
         out: &mut Vec<Effect>,
     ) {
-        let current = self.config.as_ref().map(|config| config.version);
-        self.versions.config = self.versions.config.max(revision);
-        if current.is_some_and(|current| config.version <= current) {
+        let version = config.version;
+        if self.config.is_some() && version <= self.versions.config {
             return;
         }
-        let version = config.version;
+        self.versions.config = version;
         self.config = Some(Rc::new(config));
+        let relayed = revision.is_none();
+        let revision = revision.unwrap_or(0);
+        self.config_revision = revision;
         out.push(Effect::Notice(Notice::Config {
             version,
             revision,
@@ -375,16 +403,20 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
-        let known = self.tables.get(&service);
-        if known.is_some_and(|known| known.revision >= revision) {
-            return;
-        }
-        if let Err(error) = table.check() {
+        if let Err(error) = table.check_at(era_of(revision)) {
             let error = error.to_string();
             let name = service;
             out.push(Effect::Notice(Notice::Rejected { name, error }));
             return;
         }
+        self.observe_era(era_of(revision), now, out);
+        self.restore.record_stored(&service, revision);
+        // A table that a restore has brought back is as late as it was before.
+        let revision = qualify(table.era, number_of(revision));
+        let known = self.tables.get(&service);
+        if known.is_some_and(|known| known.revision >= revision) {
+            return;
+        }
         self.versions.tables = self.versions.tables.max(revision);
         let own = table.ranges_of(&self.settings.node).count();
         out.push(Effect::Notice(Notice::Table {
@@ -410,7 +442,7 @@
 
     pub(super) fn apply_domains(
         &mut self,
-        names: BTreeSet<String>,
+        mut names: BTreeSet<String>,
         revision: u64,
         now: Millis,
         out: &mut Vec<Effect>,
@@ -419,6 +451,8 @@
             return;
         }
         self.domains_checked = revision;
+        self.domains_listed.clone_from(&names);
+        names.extend(self.domains_kept.iter().cloned());
         // A set that has not changed keeps its version, or each listing would
         // have all other nodes fetch it.
         if self.domains_out == names && self.versions.domains > 0 {
--- a/crates/core/src/fleet/effect.rs
+++ b/crates/core/src/fleet/effect.rs
@@ -286,6 +286,11 @@
     },
     /// The lease was lost.
     LeaseEnded,
+    /// The store has been restored from an earlier copy of itself.
+    Restored {
+        /// Its era since then.
+        era: u64,
+    },
     /// Another node is considered lost.
     NodeLost {
         /// Name of the node.
--- a/crates/core/src/fleet/event.rs
+++ b/crates/core/src/fleet/event.rs
@@ -63,7 +63,8 @@
 pub struct Item {
     /// Name of the object.
     pub name: String,
-    /// Revision of its last change.
+    /// Revision of its last change, qualified by the store's era; see
+    /// [`crate::fleet::revision`].
     pub revision: u64,
     /// Its value; `None` if the object was deleted.
     pub value: Option<Value>,
@@ -75,7 +76,12 @@
     /// Lists all objects of a kind.
     List(ObjectKind),
     /// Watches for changes of a kind.
-    Watch(ObjectKind),
+    Watch {
+        /// Kind of the objects.
+        kind: ObjectKind,
+        /// Revision after which changes are reported.
+        after: u64,
+    },
     /// Renews this node's lease.
     Renew,
     /// Reads this node's record.
@@ -128,7 +134,7 @@
 /// A document in the form in which nodes fetch it from each other.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Document {
-    /// The revision of the configuration, and the configuration.
+    /// The version of the configuration, and the configuration.
     Config(u64, Box<Config>),
     /// The store revision and the failure domains that are out of service.
     Domains(u64, BTreeSet<String>),
@@ -197,8 +203,8 @@
     ConfigAge {
         /// When it was asked.
         asked: Millis,
-        /// Store revision of the configuration.
-        revision: u64,
+        /// Version of the configuration.
+        version: u64,
         /// Age of its proof when it answered, in milliseconds.
         age_ms: u64,
     },
--- a/crates/core/src/fleet/gossip.rs
+++ b/crates/core/src/fleet/gossip.rs
@@ -33,14 +33,15 @@
 pub const MAX_GOSSIP_BYTES: usize = 1_200;
 
 /// Version of the encoding: the first byte of each datagram.
-const ENCODING_VERSION: u8 = 2;
+const ENCODING_VERSION: u8 = 3;
 
 /// Versions of the documents that a node has; 0 for none.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize,
 )]
 pub struct Versions {
-    /// Revision of the configuration.
+    /// Version of the configuration, which a restore of the store does not
+    /// change.
     pub config: u64,
     /// Revision of the set of failure domains that are out of service.
     pub domains: u64,
@@ -88,6 +89,8 @@
     pub lease: Option<(u64, u32)>,
     /// Versions of the documents that the node has.
     pub versions: Versions,
+    /// Revision of the latest table of its service that the node knows.
+    pub table: u64,
     /// Requests that were running at its upstream when it crashed.
     pub suspects: Vec<Fingerprint>,
 }
--- a/crates/core/src/fleet/grant_calls.rs
+++ b/crates/core/src/fleet/grant_calls.rs
@@ -209,7 +209,7 @@
         out: &mut Vec<Effect>,
     ) {
         let longest_ms = MAX_GRANT_MS.min(self.settings.bounds.hold_ms());
-        let left_ms = self.lease.remaining_ms(now);
+        let left_ms = self.right_ms(now);
         let hold_ms =
             rules::call_duration_ms(left_ms, MAX_CALL_MS, longest_ms);
         if hold_ms < MIN_GRANT_MS {
--- a/crates/core/src/fleet/lease.rs
+++ b/crates/core/src/fleet/lease.rs
@@ -149,6 +149,11 @@
         *self = Self::default();
     }
 
+    /// Ends the lease, and keeps the record's revision.
+    pub fn expire(&mut self) {
+        self.until = None;
+    }
+
     /// Remaining validity in milliseconds; 0 once the lease has expired.
     #[must_use]
     pub fn remaining_ms(&self, now: Millis) -> u64 {
--- a/crates/core/src/fleet/moves.rs
+++ b/crates/core/src/fleet/moves.rs
@@ -191,7 +191,8 @@
     /// the ranges that are to move.
     pub(super) fn plan_moves(&mut self, now: Millis, out: &mut Vec<Effect>) {
         let known = self.tables.get(&self.settings.service);
-        let Some(known) = known.filter(|_| self.is_claimed()) else { return };
+        let may_move = self.is_claimed() && self.is_settled(now);
+        let Some(known) = known.filter(|_| may_move) else { return };
         let table = Rc::clone(&known.table);
         self.plan_drain(&table, now, out);
         self.rebalance(&table, now, out);
--- a/crates/core/src/fleet/peer_sync.rs
+++ b/crates/core/src/fleet/peer_sync.rs
@@ -48,6 +48,7 @@
             capacity: self.capacity(now) as f32,
             lease,
             versions: self.versions,
+            table: self.own_table_revision(),
             suspects: self.requests.crashes.report(now),
         };
         let to = self.directory.addresses().collect();
@@ -125,13 +126,15 @@
         let finding = crashes.record_report(process, &suspects, now);
         log_finding(finding, &node, out);
         self.takeovers.remove(&node);
+        let is_behind = self.is_table_behind(now);
         for kind in
             [ObjectKind::Config, ObjectKind::Domains, ObjectKind::Tables]
         {
             let theirs = version_of(kind, &versions);
             let ours = self.known_revision(kind);
             let Some(feed) = self.feed(kind) else { continue };
-            if theirs <= ours {
+            let lacks_table = kind == ObjectKind::Tables && is_behind;
+            if theirs <= ours && !lacks_table {
                 continue;
             }
             feed.heard = feed.heard.max(theirs);
@@ -159,7 +162,9 @@
             let kind = feed.kind;
             let ours = self.known_revision(kind);
             let mut ahead = self.directory.iter().filter(|(node, peer)| {
-                version_of(kind, &peer.gossip.versions) > ours
+                (version_of(kind, &peer.gossip.versions) > ours
+                    || kind == ObjectKind::Tables
+                        && self.knows_later_table(peer))
                     && self.directory.is_live(node, now)
             });
             let Some((_, peer)) = ahead.next() else {
@@ -191,8 +196,8 @@
         out: &mut Vec<Effect>,
     ) {
         match document {
-            Document::Config(revision, config) => {
-                self.apply_config(*config, revision, true, out);
+            Document::Config(_, config) => {
+                self.apply_config(*config, None, out);
             }
             Document::Domains(revision, names) => {
                 if revision > self.known_revision(ObjectKind::Domains) {
--- a/crates/core/src/fleet/proposal.rs
+++ b/crates/core/src/fleet/proposal.rs
@@ -43,6 +43,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
+use crate::fleet::revision::era_of;
 use crate::fleet::table::{Instance, Table};
 
 /// Age at which a proposal is dropped. Its node proposes again what is still
@@ -80,6 +81,10 @@
     /// Instance of its upstream, for which it claims its ranges.
     #[serde(rename = "life")]
     pub instance: Option<Instance>,
+    /// Keys that the upstream has held since before the latest restore of the
+    /// store. They keep their fencing tokens when the node claims its ranges.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub keeps: Vec<(u16, u16)>,
     /// Keys that it transfers to other nodes.
     #[serde(rename = "gives")]
     pub transfers: Vec<Transfer>,
@@ -90,12 +95,15 @@
     /// current ranges; ignores the rest, which is outdated.
     pub fn apply(&self, table: &mut Table) {
         let known = table.claims.get(&self.node).copied().unwrap_or(0);
-        if self.term < known {
+        if self.term < known || era_of(self.term) != table.era {
             return;
         }
         if self.term > known {
             table.claims.insert(self.node.clone(), self.term);
         }
+        if known == 0 {
+            table.renew_fences(&self.node, &self.keeps);
+        }
         if let Some(instance) = &self.instance {
             let late = table
                 .ranges_of(&self.node)
--- a/crates/core/src/fleet/reconcile.rs
+++ b/crates/core/src/fleet/reconcile.rs
@@ -85,22 +85,35 @@
         };
         let (revision, old) = (stored.revision, Rc::clone(&stored.table));
         self.pending_proposals.expire(now);
+        if self.is_table_lost() {
+            return self.restore_table(service, now, out);
+        }
+
         let own = self.proposal(&old, now, out);
         if own.is_none() {
             self.edit.proposed = None;
         }
         let takes_over = self.is_claimed() && self.any_revoked(now);
+        let settles = old.unsettled && self.may_settle(now);
         if let Some(own) = &own
             && !takes_over
             && self.propose(own, now, out)
         {
             return;
         }
-        if own.is_none() && !takes_over && self.pending_proposals.is_empty() {
+        if own.is_none()
+            && !takes_over
+            && !settles
+            && self.pending_proposals.is_empty()
+        {
             return;
         }
         let mut table = Table::clone(&old);
         let mut reasons = Vec::new();
+        if settles {
+            table.unsettled = false;
+            reasons.push("all earlier leases have ended");
+        }
         if !self.pending_proposals.is_empty() {
             self.pending_proposals.apply(&mut table);
             reasons.push("changes of other nodes");
@@ -139,14 +152,36 @@
                     .ranges_of(&node)
                     .any(|range| range.instance != instance);
         let mut transfers = Vec::new();
-        if self.is_claimed() {
+        if self.is_claimed() && self.is_settled(now) {
             self.plan_drain(table, now, out);
             transfers = self.ready_transfers(table, now);
         }
         if !claims && transfers.is_empty() {
             return None;
         }
-        Some(Proposal { node, term: self.term, instance, transfers })
+        let keeps = self.restore.kept_keys();
+        Some(Proposal { node, term: self.term, instance, keeps, transfers })
+    }
+
+    /// Writes the latest known table again after a restore of the store, with
+    /// the claims that are known already.
+    fn restore_table(
+        &mut self,
+        service: String,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(mut table) = self.rebuilt_table(now) else { return };
+        self.pending_proposals.apply(&mut table);
+        if let Some(own) = self.proposal(&table, now, out) {
+            own.apply(&mut table);
+        }
+        table.merge_adjacent();
+        self.edit.pending = true;
+        self.edit.sent = now;
+        let expect = self.restore.stored(&service);
+        let reason = "rebuilt after a restore of the store".to_owned();
+        update(service, expect, table, reason, out);
     }
 
     /// Proposes this node's changes to the peer that combines them; `false` if
@@ -231,10 +266,10 @@
             StoreOutcome::Done(item) => {
                 self.pending_proposals.remove_written(self.edit.sent);
                 self.edit.due = self.edit.sent.plus(MIN_COMBINE_INTERVAL_MS);
-                self.apply_item(item, false, now, out);
+                self.apply_item(item, now, out);
             }
             StoreOutcome::Conflict(Some(item)) => {
-                self.apply_item(item, false, now, out);
+                self.apply_item(item, now, out);
                 let pause = self.random.random_range(0..MAX_CONFLICT_PAUSE_MS);
                 self.edit.due = now.plus(pause);
             }
@@ -260,6 +295,10 @@
         if age < CREATE_EARLIEST_MS || !self.upstream.is_ready() {
             return;
         }
+        // The store may have been restored from a copy without the table.
+        if self.is_table_behind(now) {
+            return;
+        }
         let node = &self.settings.node;
         let mut shares =
             vec![Share { node: node.clone(), slots: self.upstream.slots() }];
@@ -282,6 +321,7 @@
             return;
         }
         let mut table = Table::proportional(&shares);
+        table.begin_era(self.restore.era());
         for range in &mut table.ranges {
             range.instance = self.instance_of(&range.node);
         }
--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -22,6 +22,7 @@
 use crate::fleet::reconcile::Edit;
 use crate::fleet::renewal::Renewal;
 use crate::fleet::request::Requests;
+use crate::fleet::restore::Restore;
 use crate::fleet::settings::Settings;
 use crate::fleet::table::Table;
 use crate::fleet::takeover::Takeover;
@@ -54,10 +55,17 @@
     pub(super) started: Millis,
     pub(super) config: Option<Rc<Config>>,
     pub(super) versions: Versions,
+    /// Store revision of the configuration in force.
+    pub(super) config_revision: u64,
     pub(super) domains_out: BTreeSet<String>,
     /// Store revision at which the set of domains out of service was last
     /// confirmed.
     pub(super) domains_checked: u64,
+    /// The domains out of service as the store last showed them.
+    pub(super) domains_listed: BTreeSet<String>,
+    /// Domains that were out of service before a restore of the store. They
+    /// stay so until the operator has had the time to write them again.
+    pub(super) domains_kept: BTreeSet<String>,
     /// When this node learned that its failure domain is out of service.
     pub(super) out_since: Option<Millis>,
     pub(super) tables: BTreeMap<String, VersionedTable>,
@@ -81,6 +89,7 @@
     pub(super) stopping_since: Option<Millis>,
     pub(super) feeds: [Feed; 3],
     pub(super) renewal: Renewal,
+    pub(super) restore: Restore,
     /// Announcement whose answer waits until the node has claimed its ranges,
     /// and when it arrived.
     pub(super) waiting_announcement: Option<(Ticket, Millis)>,
@@ -115,8 +124,11 @@
             started: now,
             config: None,
             versions: Versions::default(),
+            config_revision: 0,
             domains_out: BTreeSet::new(),
             domains_checked: 0,
+            domains_listed: BTreeSet::new(),
+            domains_kept: BTreeSet::new(),
             out_since: None,
             tables: BTreeMap::new(),
             lease: Lease::default(),
@@ -139,6 +151,7 @@
             ]
             .map(|kind| Feed::new(kind, now)),
             renewal: Renewal { due: now, ..Renewal::default() },
+            restore: Restore::default(),
             waiting_announcement: None,
             config_proof: ConfigProof::default(),
             waiting_exits: WaitingExits::new(),
@@ -161,8 +174,8 @@
             Event::Gossip { from, gossip } => {
                 self.on_gossip(from, *gossip, now, out);
             }
-            Event::ConfigAge { asked, revision, age_ms } => {
-                self.on_config_proof(asked, revision, age_ms);
+            Event::ConfigAge { asked, version, age_ms } => {
+                self.on_config_proof(asked, version, age_ms);
             }
             Event::Document(document) => self.on_document(document, now, out),
             Event::Proposal(proposal) => self.on_proposal(*proposal, now, out),
@@ -208,10 +221,18 @@
         self.config.as_ref()
     }
 
-    /// Store revision of the configuration in force; 0 if there is none.
+    /// The latest known era of the store; 0 before its first answer, or if it
+    /// does not name eras.
+    #[must_use]
+    pub fn store_era(&self) -> u64 {
+        self.restore.era()
+    }
+
+    /// Store revision of the configuration in force; 0 if there is none, or if
+    /// it came from a peer.
     #[must_use]
     pub fn config_revision(&self) -> u64 {
-        self.versions.config
+        self.config_revision
     }
 
     /// The document of this kind for a peer that fetches it; `None` if this
@@ -255,6 +276,7 @@
 
     fn tick(&mut self, now: Millis, out: &mut Vec<Effect>) {
         self.directory.tick(now);
+        self.end_restore(now, out);
         self.check_documents(now);
         self.follow_feeds(now, out);
         self.renew(now, out);
--- a/crates/core/src/fleet/request.rs
+++ b/crates/core/src/fleet/request.rs
@@ -406,7 +406,9 @@
         out.push(Effect::Refuse { ticket, refusal });
     }
 
-    fn config_version(&self) -> u64 {
+    /// Version of the configuration in force; 0 if there is none.
+    #[must_use]
+    pub fn config_version(&self) -> u64 {
         self.config.as_ref().map_or(0, |config: &Rc<Config>| config.version)
     }
 
--- a/crates/core/src/fleet/table.rs
+++ b/crates/core/src/fleet/table.rs
@@ -20,6 +20,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::balance::subtract;
+use crate::fleet::revision::fence_floor;
+
 /// The highest key.
 pub const MAX_KEY: u16 = u16::MAX;
 
@@ -27,6 +30,9 @@
 /// exact up to here in most languages.
 pub const MAX_FENCE: u64 = (1 << 53) - 1;
 
+/// How far the fencing tokens rise if a table is rebuilt twice in one era.
+const REBUILD_FENCE_STEP: u64 = 1 << 20;
+
 /// One run of an upstream process, from start to exit.
 #[derive(
     Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize,
@@ -72,6 +78,12 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(from = "Columns", into = "Columns")]
 pub struct Table {
+    /// Era of the store for which the table is valid. In a later one it is
+    /// only the state from before a restore, until a node rebuilds it.
+    pub era: u64,
+    /// Whether ranges may still be held under grants that a restore of the
+    /// store has made unknown, so that none may change hands.
+    pub unsettled: bool,
     /// Highest fencing token issued so far.
     pub fence: u64,
     /// Lease term under which each node last claimed its ranges: the record
@@ -87,6 +99,10 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 struct Columns {
+    #[serde(default, skip_serializing_if = "is_zero")]
+    era: u64,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    unsettled: bool,
     fence: u64,
     claims: BTreeMap<String, u64>,
     /// Node, and name and start time of the owning instance.
@@ -97,6 +113,15 @@
     handovers: Vec<(usize, String)>,
 }
 
+/// Whether the field is left out: the store does not name eras.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+fn is_zero(era: &u64) -> bool {
+    *era == 0
+}
+
 impl From<Table> for Columns {
     fn from(table: Table) -> Self {
         let mut owners: Vec<(String, Option<(String, u64)>)> = Vec::new();
@@ -116,8 +141,8 @@
             ranges.push((range.first, range.fence, *owner_index));
             handovers.extend(range.handover.map(|token| (index, token)));
         }
-        let Table { fence, claims, .. } = table;
-        Self { fence, claims, owners, ranges, handovers }
+        let Table { era, unsettled, fence, claims, .. } = table;
+        Self { era, unsettled, fence, claims, owners, ranges, handovers }
     }
 }
 
@@ -125,7 +150,15 @@
     /// Skips ranges with an invalid owner index, so that [`Table::check`]
     /// reports their keys as missing.
     fn from(columns: Columns) -> Self {
-        let Columns { fence, claims, owners, ranges, handovers } = columns;
+        let Columns {
+            era,
+            unsettled,
+            fence,
+            claims,
+            owners,
+            ranges,
+            handovers,
+        } = columns;
         let mut tokens: HashMap<usize, String> =
             handovers.into_iter().collect();
         let mut all = Vec::with_capacity(ranges.len());
@@ -144,7 +177,7 @@
                 handover: tokens.remove(&index),
             });
         }
-        Self { fence, claims, ranges: all }
+        Self { era, unsettled, fence, claims, ranges: all }
     }
 }
 
@@ -167,6 +200,11 @@
         /// The table's highest fencing token.
         fence: u64,
     },
+    /// The table is valid for an era that the store has not reached.
+    Era {
+        /// The era of the table.
+        era: u64,
+    },
 }
 
 impl std::fmt::Display for TableError {
@@ -185,6 +223,9 @@
             Self::FenceLimit { fence } => {
                 write!(f, "the fencing token {fence} is too high")
             }
+            Self::Era { era } => {
+                write!(f, "the store has not reached the era {era}")
+            }
         }
     }
 }
@@ -228,7 +269,54 @@
             });
             first = end;
         }
-        Self { fence: 1, claims: BTreeMap::new(), ranges }
+        Self { fence: 1, ranges, ..Self::default() }
+    }
+
+    /// Makes a new table valid in an era of the store.
+    pub fn begin_era(&mut self, era: u64) {
+        self.era = era;
+        let floor = fence_floor(era);
+        self.fence += floor;
+        for range in &mut self.ranges {
+            range.fence += floor;
+        }
+    }
+
+    /// Makes the latest known table of an earlier era valid again after a
+    /// restore of the store. Each node has to claim its ranges once more.
+    pub fn rebuild(&mut self, era: u64) {
+        if self.era == era {
+            // A table of this era was lost, with tokens that it had issued.
+            self.fence += REBUILD_FENCE_STEP;
+        }
+        self.era = era;
+        self.unsettled = true;
+        self.fence = self.fence.max(fence_floor(era));
+        self.claims.clear();
+    }
+
+    /// Gives a node's ranges that come from an earlier era a new fencing token,
+    /// apart from the keys `kept`, which its upstream has held ever since. The
+    /// others may have had an owner meanwhile whose token is not known.
+    pub fn renew_fences(&mut self, node: &str, kept: &[(u16, u16)]) {
+        let floor = fence_floor(self.era);
+        let old: Vec<(u16, u16)> = self
+            .ranges_of(node)
+            .filter(|range| range.fence < floor)
+            .map(|range| (range.first, range.last))
+            .collect();
+        let stale = subtract(&old, kept.iter().copied());
+        if stale.is_empty() {
+            return;
+        }
+        let fence = self.fence + 1;
+        self.fence = fence;
+        for (first, last) in stale {
+            for range in self.isolate(first, last) {
+                range.fence = fence;
+                range.handover = None;
+            }
+        }
     }
 
     /// Checks that each key lies in exactly one range and that no fencing
@@ -258,6 +346,19 @@
         Err(TableError::Coverage { key: next })
     }
 
+    /// Checks a table that was read in an era of the store, as
+    /// [`Table::check`] does.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error also if the table is of a later era.
+    pub fn check_at(&self, era: u64) -> Result<(), TableError> {
+        if self.era > era {
+            return Err(TableError::Era { era: self.era });
+        }
+        self.check()
+    }
+
     /// The range that contains `key`.
     ///
     /// # Panics
--- a/crates/core/src/fleet/takeover.rs
+++ b/crates/core/src/fleet/takeover.rs
@@ -79,7 +79,7 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(takeover) = self.takeovers.get(node).cloned() else {
-            let delay = TAKEOVER_RANK_DELAY_MS * self.takeover_rank(now);
+            let delay = TAKEOVER_RANK_DELAY_MS * self.rank(now);
             let lease = self.directory.get(node).and_then(|p| p.lease);
             let due = now.plus(delay);
             let stage = Stage::Suspected;
@@ -133,7 +133,7 @@
     }
 
     /// Number of live nodes of the service that precede this one by name.
-    fn takeover_rank(&self, now: Millis) -> u64 {
+    pub(super) fn rank(&self, now: Millis) -> u64 {
         let own = self.settings.node.as_str();
         let before = self.directory.iter().filter(|(node, peer)| {
             *node < own
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod ownership;
 mod proposal;
 mod requests;
+mod restore;
 mod retries;
 mod settings;
 mod support;
--- a/crates/core/tests/fleet/malformed.rs
+++ b/crates/core/tests/fleet/malformed.rs
@@ -76,6 +76,7 @@
             domains: number(random),
             tables: number(random),
         },
+        table: number(random),
         suspects: suspects.map(|_| Fingerprint(number(random))).collect(),
     }
 }
@@ -166,6 +167,8 @@
     });
     let mut table = Table::proportional(&shares);
     table.fence = number(random);
+    table.era = number(random);
+    table.unsettled = random.random();
     for _ in 0..random.random_range(0..3) {
         table.claims.insert(name(random), number(random));
         let index = random.random_range(0..table.ranges.len());
@@ -240,7 +243,7 @@
     let kind = kinds[random.random_range(0..kinds.len())];
     match random.random_range(0..8) {
         0 => Call::List(kind),
-        1 => Call::Watch(kind),
+        1 => Call::Watch { kind, after: number(random) },
         2 => Call::Renew,
         3 => Call::ReadRecord,
         4 => Call::Edit(name(random)),
@@ -265,6 +268,7 @@
         node: name(random),
         term: number(random),
         instance: random.random::<bool>().then(|| instance(random)),
+        keeps: vec![(key(random), key(random))],
         transfers: transfers
             .map(|_| Transfer {
                 first: key(random),
@@ -361,9 +365,9 @@
             1 => u64::MAX - number(&mut random),
             _ => u64::MAX / 41 * random.random_range(0..41),
         };
-        let revision = number(&mut random);
+        let version = number(&mut random);
         let before = harness.config_age_ms();
-        harness.step(Event::ConfigAge { asked, revision, age_ms });
+        harness.step(Event::ConfigAge { asked, version, age_ms });
         if age_ms > harness.now {
             assert_eq!(harness.config_age_ms(), before, "{age_ms}");
         }
--- a/crates/core/tests/fleet/proposal.rs
+++ b/crates/core/tests/fleet/proposal.rs
@@ -1,6 +1,7 @@
 //! Proposed changes of a table that are applied late or twice.
 
 use lagoondyke_core::fleet::proposal::{Proposal, Transfer};
+use lagoondyke_core::fleet::revision::{fence_floor, qualify};
 use lagoondyke_core::fleet::table::{Instance, Share, Table};
 
 /// Lease term under which `a` owns its half of the keys.
@@ -16,7 +17,7 @@
     let mut table = Table::proportional(&[share("a"), share("b")]);
     let node = "a".to_owned();
     let claimant = Some(instance(5));
-    Proposal { node, term: TERM, instance: claimant, transfers: Vec::new() }
+    Proposal { node, term: TERM, instance: claimant, ..Proposal::default() }
         .apply(&mut table);
     table
 }
@@ -32,6 +33,7 @@
         term,
         instance: Some(instance(5)),
         transfers,
+        ..Proposal::default()
     }
 }
 
@@ -97,3 +99,51 @@
     assert_eq!(table.range_at(0).instance, Some(instance(4)));
     assert_eq!(table.range_at(0).fence, 2);
 }
+
+/// Guards against a proposal from before a restore of the store, whose term
+/// says nothing of the present leases.
+#[test]
+fn a_proposal_of_another_era_changes_nothing() {
+    let mut table = table();
+    table.rebuild(2);
+    let before = table.clone();
+    for term in [TERM, qualify(1, TERM), qualify(3, TERM)] {
+        proposal(term, vec![transfer(0, 9, 1)]).apply(&mut table);
+        assert_eq!(table, before, "{term}");
+    }
+    proposal(qualify(2, TERM), Vec::new()).apply(&mut table);
+    assert_eq!(table.claims["a"], qualify(2, TERM));
+}
+
+/// Guards against a token that was given out before a restore and is given out
+/// again: only keys that were held without a break keep theirs.
+#[test]
+fn the_first_claim_after_a_restore_renews_tokens() {
+    let mut table = table();
+    let old = table.range_at(0).fence;
+    table.rebuild(2);
+    let keeps = vec![(0, 9)];
+    let term = qualify(2, TERM);
+    let claim = Proposal { keeps, ..proposal(term, Vec::new()) };
+    claim.apply(&mut table);
+    assert_eq!(table.range_at(9).fence, old);
+    let renewed = table.range_at(10).fence;
+    assert!(renewed > fence_floor(2), "{renewed}");
+    // A later process of the node has them under the same tokens.
+    let later = Proposal { term: term + 1, keeps: Vec::new(), ..claim };
+    later.apply(&mut table);
+    assert_eq!(table.range_at(9).fence, old);
+    assert_eq!(table.range_at(10).fence, renewed);
+    table.check().expect("a valid table");
+}
+
+/// Guards against tokens that a table had issued before it was lost in the same
+/// era, and that are issued again.
+#[test]
+fn tokens_rise_if_a_table_is_rebuilt_twice_in_an_era() {
+    let mut table = table();
+    table.rebuild(2);
+    let issued = table.fence + 1_000;
+    table.rebuild(2);
+    assert!(table.fence > issued);
+}
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -193,6 +193,25 @@
         self.step(Event::Gossip { from, gossip })
     }
 
+    /// Gossip of a node that knows a table of its service of this revision.
+    pub fn gossip_table(&mut self, index: usize, service: &str, table: u64) {
+        self.message_count += 1;
+        let gossip = Box::new(Gossip {
+            node: format!("n{index}"),
+            count: self.message_count,
+            service: service.to_owned(),
+            instance: Some(Instance {
+                id: format!("u{index}"),
+                started_ms: 1,
+            }),
+            slots: 4,
+            table,
+            ..Gossip::default()
+        });
+        let from = settings(index).gossip_addr();
+        self.step(Event::Gossip { from, gossip });
+    }
+
     pub fn announce(&mut self, phase: Phase, slots: u16) -> Vec<Effect> {
         let instance = Instance { id: "u0".to_owned(), started_ms: 1 };
         self.announce_state(instance, phase, slots)
@@ -426,7 +445,7 @@
         let name = "k".to_owned();
         let items = vec![Item { name, revision, value }];
         let outcome = StoreOutcome::Changed { items, revision };
-        let call = Call::Watch(ObjectKind::Tables);
+        let call = Call::Watch { kind: ObjectKind::Tables, after: 5 };
         sends +=
             forwards(&harness.step(Event::StoreDone { call, outcome })).len();
     }
@@ -436,7 +455,7 @@
     let value = Some(Value::Table(table));
     let items = vec![Item { name: "k".to_owned(), revision: 30, value }];
     let outcome = StoreOutcome::Changed { items, revision: 30 };
-    let call = Call::Watch(ObjectKind::Tables);
+    let call = Call::Watch { kind: ObjectKind::Tables, after: 5 };
     let out = harness.step(Event::StoreDone { call, outcome });
     assert_eq!(forwards(&out).len(), 1, "sent to the new owner at once");
 }
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -5,6 +5,7 @@
 //! duration of their grant by a clock that runs 2 % slow.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use lagoondyke_core::clock::{Millis, TICK_INTERVAL_MS};
 use lagoondyke_core::fleet::Fleet;
@@ -16,6 +17,7 @@
 };
 use lagoondyke_core::fleet::grant_calls::UpstreamCall;
 use lagoondyke_core::fleet::lease::Record;
+use lagoondyke_core::fleet::revision::{number_of, qualify};
 use lagoondyke_core::fleet::settings::{Bounds, GrantMode, Settings};
 use lagoondyke_core::fleet::table::Instance;
 use lagoondyke_core::fleet::upstream::{
@@ -84,6 +86,9 @@
     Empty,
 }
 
+/// Objects of the store with their revisions.
+type Objects = BTreeMap<(ObjectKind, String), (u64, Value)>;
+
 /// A range that an upstream holds.
 #[derive(Clone, Copy, Debug)]
 struct HeldRange {
@@ -197,9 +202,15 @@
     /// Orders what happens at the same time, and numbers tickets.
     counter: u64,
     /// Objects of the store with their revisions.
-    objects: BTreeMap<(ObjectKind, String), (u64, Value)>,
-    /// Latest revision in the store.
+    objects: Objects,
+    /// Latest revision in the store, within its era.
     revision: u64,
+    /// Era of the store, which rises with each restore.
+    era: u64,
+    /// The objects before the latest restore.
+    lost: Objects,
+    /// The copy of the store: its objects and its revision.
+    copy: Option<(Objects, u64)>,
     /// Open watches: node, process, kind, the revision after which changes
     /// are reported, and when the watch ends without one.
     watches: Vec<(usize, u64, ObjectKind, u64, u64)>,
@@ -288,6 +299,9 @@
             counter: 0,
             objects,
             revision: 1,
+            era: 1,
+            lost: BTreeMap::new(),
+            copy: None,
             watches: Vec::new(),
             tickets: BTreeMap::new(),
             random: Pcg64Mcg::seed_from_u64(seed),
@@ -449,6 +463,11 @@
         self.schedule_after(span, Task::StartUpstream(index));
     }
 
+    /// Replaces an upstream by a new instance in `span` milliseconds.
+    pub fn restart_upstream_after(&mut self, index: usize, span: u64) {
+        self.schedule_after(span, Task::StartUpstream(index));
+    }
+
     /// Publishes a version of the configuration, as the operator does.
     pub fn publish_config(&mut self, version: u64) {
         let key = (ObjectKind::Config, "main".to_owned());
@@ -469,6 +488,47 @@
         self.objects.insert(key, (self.revision, Value::Out));
     }
 
+    /// Puts a failure domain back into service, as the operator does.
+    pub fn take_domain_back(&mut self, domain: &str) {
+        self.revision += 1;
+        self.objects.remove(&(ObjectKind::Domains, domain.to_owned()));
+    }
+
+    /// Makes a copy of the store, from which it can be restored.
+    pub fn copy_store(&mut self) {
+        self.copy = Some((self.objects.clone(), self.revision));
+    }
+
+    /// Brings the store back from the copy. The operator has written its
+    /// documents again by then; what the nodes wrote is gone.
+    pub fn restore_store(&mut self) {
+        self.restore_store_bare();
+        self.rewrite_documents();
+    }
+
+    /// Like [`Simulation::restore_store`], but the operator writes nothing.
+    pub fn restore_store_bare(&mut self) {
+        let Some((objects, revision)) = self.copy.clone() else { return };
+        let current = std::mem::replace(&mut self.objects, objects);
+        self.lost = current;
+        self.revision = revision;
+        self.era += 1;
+    }
+
+    /// The operator writes again what a restore has taken from its documents.
+    pub fn rewrite_documents(&mut self) {
+        let is_document = |kind: ObjectKind| {
+            matches!(kind, ObjectKind::Config | ObjectKind::Domains)
+        };
+        for (key, (_, value)) in std::mem::take(&mut self.lost) {
+            let same = self.objects.get(&key).is_some_and(|o| o.1 == value);
+            if is_document(key.0) && !same {
+                self.revision += 1;
+                self.objects.insert(key, (self.revision, value));
+            }
+        }
+    }
+
     /// Failure domains out of service, as each running node knows them.
     pub fn domains_out(&self) -> BTreeSet<Vec<String>> {
         let fleets = self.nodes.iter().filter_map(|n| n.fleet.as_ref());
@@ -609,6 +669,23 @@
         }
     }
 
+    /// A node fetches a document from the one at `from`.
+    fn fetch(&mut self, index: usize, from: SocketAddr, kind: ObjectKind) {
+        self.fetches += 1;
+        let std::net::IpAddr::V4(ip) = from.ip() else { return };
+        let other = usize::from(ip.octets()[3]) - 1;
+        let connected = self.nodes[index].connected
+            && self.nodes[other].connected
+            && !self.documents_lost;
+        let fleet = self.nodes[other].fleet.as_ref();
+        let document = fleet.and_then(|fleet| fleet.document(kind));
+        let Some(document) = document.filter(|_| connected) else { return };
+        let process = self.nodes[index].process;
+        let event = Event::Document(document);
+        let task = Task::Event(index, process, event);
+        self.schedule_after(MESSAGE_DELAY_MS, task);
+    }
+
     fn apply_effect(&mut self, index: usize, effect: Effect) {
         let process = self.nodes[index].process;
         match effect {
@@ -633,23 +710,7 @@
                 }
             }
             Effect::Store { call, op } => self.call(index, call, op),
-            Effect::Fetch { from, kind } => {
-                self.fetches += 1;
-                let std::net::IpAddr::V4(ip) = from.ip() else { return };
-                let other = usize::from(ip.octets()[3]) - 1;
-                let connected = self.nodes[index].connected
-                    && self.nodes[other].connected
-                    && !self.documents_lost;
-                let fleet = self.nodes[other].fleet.as_ref();
-                let document = fleet.and_then(|fleet| fleet.document(kind));
-                if let (true, Some(document)) = (connected, document) {
-                    let event = Event::Document(document);
-                    self.schedule_after(
-                        MESSAGE_DELAY_MS,
-                        Task::Event(index, process, event),
-                    );
-                }
-            }
+            Effect::Fetch { from, kind } => self.fetch(index, from, kind),
             Effect::AskConfigAge { from, asked } => {
                 let std::net::IpAddr::V4(ip) = from.ip() else { return };
                 let other = usize::from(ip.octets()[3]) - 1;
@@ -659,8 +720,8 @@
                 let now = Millis(self.now);
                 let age_ms = fleet.and_then(|f| f.config_age_ms(now));
                 let Some(age_ms) = age_ms else { return };
-                let revision = fleet.map_or(0, Fleet::config_revision);
-                let event = Event::ConfigAge { asked, revision, age_ms };
+                let version = fleet.map_or(0, Fleet::config_version);
+                let event = Event::ConfigAge { asked, version, age_ms };
                 // A slow answer is as old as it is slow.
                 let span = MESSAGE_DELAY_MS + self.random(self.answer_delay);
                 self.schedule_after(span, Task::Event(index, process, event));
@@ -871,7 +932,8 @@
     fn item(&self, kind: ObjectKind, name: &str) -> Option<Item> {
         let (revision, value) = self.objects.get(&(kind, name.to_owned()))?;
         let value = Some(value.clone());
-        Some(Item { name: name.to_owned(), revision: *revision, value })
+        let revision = qualify(self.era, *revision);
+        Some(Item { name: name.to_owned(), revision, value })
     }
 
     /// Performs an operation on the objects of the store.
@@ -885,7 +947,8 @@
                 let items =
                     names.iter().filter_map(|name| self.item(kind, name));
                 let items = items.collect();
-                StoreOutcome::Listed { items, revision: self.revision }
+                let revision = qualify(self.era, self.revision);
+                StoreOutcome::Listed { items, revision }
             }
             Op::Read { kind, name } => match self.item(kind, &name) {
                 Some(item) => StoreOutcome::Done(item),
@@ -895,7 +958,9 @@
                 let current = self.item(kind, &name);
                 let revision = current.as_ref().map_or(0, |i| i.revision);
                 let is_table = kind == ObjectKind::Tables;
-                if revision != expect {
+                // The store compares the revisions that it has given out in
+                // whatever era.
+                if number_of(revision) != number_of(expect) {
                     self.updates.1 += u32::from(is_table);
                     return StoreOutcome::Conflict(current);
                 }
@@ -918,7 +983,7 @@
         let watches = std::mem::take(&mut self.watches);
         for (index, process, kind, after, end) in watches {
             let changed = |entry: &(&(ObjectKind, String), &(u64, Value))| {
-                entry.0.0 == kind && entry.1.0 > after
+                entry.0.0 == kind && entry.1.0 > number_of(after)
             };
             let names: Vec<String> = self
                 .objects
@@ -931,6 +996,8 @@
                 self.store_faults.down || node.store_denied || !node.connected;
             let outcome = if unreachable {
                 StoreOutcome::Unavailable
+            } else if number_of(after) > self.revision {
+                StoreOutcome::Compacted
             } else if self.is_silent(index) && self.now < end + WATCH_MARGIN_MS
             {
                 self.watches.push((index, process, kind, after, end));
@@ -943,12 +1010,14 @@
                 if self.store_faults.watches == WatchFault::Empty {
                     items.clear();
                 }
-                StoreOutcome::Changed { items, revision: self.revision }
+                let revision = qualify(self.era, self.revision);
+                StoreOutcome::Changed { items, revision }
             } else {
                 self.watches.push((index, process, kind, after, end));
                 continue;
             };
-            let event = Event::StoreDone { call: Call::Watch(kind), outcome };
+            let call = Call::Watch { kind, after };
+            let event = Event::StoreDone { call, outcome };
             self.schedule_after(
                 STORE_ROUND_TRIP_MS / 2,
                 Task::Event(index, process, event),
--- a/crates/core/tests/fleet/table.rs
+++ b/crates/core/tests/fleet/table.rs
@@ -1,7 +1,7 @@
 //! Tables of key ranges as they are stored.
 
 use lagoondyke_core::fleet::table::{
-    Instance, MAX_FENCE, MAX_KEY, Share, Table,
+    Instance, MAX_FENCE, MAX_KEY, Share, Table, TableError,
 };
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
 
@@ -121,3 +121,14 @@
     table.fence = MAX_FENCE + 1;
     assert!(table.check().is_err());
 }
+
+/// Guards against a table of another writer that names an era which the store
+/// has not reached: no claim would ever be valid in it.
+#[test]
+fn a_table_of_a_later_era_is_invalid() {
+    let share = Share { node: "a".to_owned(), slots: 1 };
+    let mut table = Table::proportional(&[share]);
+    table.begin_era(3);
+    assert_eq!(table.check_at(3), Ok(()));
+    assert_eq!(table.check_at(2), Err(TableError::Era { era: 3 }));
+}
--- a/crates/core/tests/fleet_model.rs
+++ b/crates/core/tests/fleet_model.rs
@@ -800,6 +800,7 @@
             term: term.into(),
             instance: None,
             transfers: transfer.into_iter().collect(),
+            ..Proposal::default()
         };
         let mut table = table_of(view);
         proposal.apply(&mut table);
@@ -816,7 +817,7 @@
     let fence = view.fence.into();
     let range = Range { last: MAX_KEY, fence, node, ..Range::default() };
     let claims = BTreeMap::from([("a".to_owned(), view.claim.into())]);
-    Table { fence, claims, ranges: vec![range] }
+    Table { fence, claims, ranges: vec![range], ..Table::default() }
 }
 
 /// The modelled part of a table.
--- a/crates/node/src/fleet/metrics.rs
+++ b/crates/node/src/fleet/metrics.rs
@@ -120,6 +120,13 @@
         });
     }
 
+    /// Sets the era of the store, which rises when it is restored from a copy.
+    pub fn set_store_era(&self, era: u64) {
+        metrics::with_local_recorder(&self.recorder, || {
+            gauge!("lagoondyke_store_era").set(era as f64);
+        });
+    }
+
     /// Sets the version of the configuration in force and its revision in the
     /// store; both are 0 if there is none.
     pub fn set_config(&self, version: u64, revision: u64) {
--- a/crates/node/src/fleet/notice_log.rs
+++ b/crates/node/src/fleet/notice_log.rs
@@ -10,6 +10,7 @@
 
 use lagoondyke_core::clock::Millis;
 use lagoondyke_core::fleet::effect::Notice;
+use lagoondyke_core::fleet::revision::number_of;
 use lagoondyke_core::id::Fingerprint;
 use lagoondyke_core::verdict::Verdict;
 use slog::Logger;
@@ -144,8 +145,9 @@
             Notice::Outdated { kind, revision, heard } => {
                 if self.take_token() {
                     slog::warn!(log, "a peer has a later document";
-                        "kind" => kind_name(*kind), "revision" => revision,
-                        "heard" => heard);
+                        "kind" => kind_name(*kind),
+                        "revision" => number_of(*revision),
+                        "heard" => number_of(*heard));
                 }
             }
             Notice::CallFailed { call, outcome, age_ms } => {
@@ -168,20 +170,21 @@
         match notice {
             Notice::Config { version, revision, relayed } => slog::info!(log,
                 "configuration in force"; "version" => version,
-                "revision" => revision, "from_peer" => relayed),
+                "revision" => number_of(*revision), "from_peer" => relayed),
             Notice::Domains { out, revision } => slog::info!(log,
                 "failure domains out of service changed";
-                "out" => out.join(" "), "revision" => revision),
+                "out" => out.join(" "), "revision" => number_of(*revision)),
             Notice::Table { service, revision, own } => slog::info!(log,
                 "table in force"; "service" => service,
-                "revision" => revision, "own_ranges" => own),
+                "revision" => number_of(*revision), "own_ranges" => own),
             Notice::Edited { service, revision, reason } => {
                 slog::info!(log, "table update sent"; "service" => service,
-                    "expected_revision" => revision, "reason" => reason);
+                    "expected_revision" => number_of(*revision), "reason" => reason);
             }
             Notice::Proposed { service, to, term, ranges } => {
                 slog::info!(log, "table changes proposed";
-                    "service" => service, "to" => %to, "term" => term,
+                    "service" => service, "to" => %to,
+                    "term" => number_of(*term),
                     "ranges" => ranges);
             }
             Notice::Moving { reason, ranges, rate, capacity } => {
@@ -189,20 +192,6 @@
                     "ranges" => ranges, "rate" => rate,
                     "capacity" => capacity);
             }
-            Notice::Relayed { to, left_ms } => {
-                slog::info!(log, "lease renewal sent through a peer";
-                    "to" => %to, "left_ms" => left_ms);
-            }
-            Notice::LeaseGained { revision } => {
-                slog::info!(log, "lease acquired"; "revision" => revision);
-            }
-            Notice::LeaseEnded => slog::warn!(log, "lease lost"),
-            Notice::NodeLost { node } => {
-                slog::warn!(log, "node is silent"; "node" => node);
-            }
-            Notice::Revoked { node, wait_ms } => slog::warn!(log,
-                "lease of a lost node revoked";
-                "node" => node, "ends_in_ms" => wait_ms),
             Notice::UpstreamStarted { id } => {
                 slog::info!(log, "upstream announced itself"; "id" => id);
             }
@@ -256,6 +245,33 @@
                 "settings reloaded"; "restart_needed" => partly),
             Notice::Stopping { requests } => slog::info!(log,
                 "stop requested"; "requests" => requests),
+            other => self.log_lease(other),
+        }
+    }
+
+    /// Logs a notice of leases, the node's own and those of others.
+    fn log_lease(&self, notice: &Notice) {
+        let log = &self.log;
+        match notice {
+            Notice::Relayed { to, left_ms } => {
+                slog::info!(log, "lease renewal sent through a peer";
+                    "to" => %to, "left_ms" => left_ms);
+            }
+            Notice::LeaseGained { revision } => {
+                slog::info!(log, "lease acquired";
+                    "revision" => number_of(*revision));
+            }
+            Notice::Restored { era } => {
+                slog::warn!(log, "store was restored from an earlier copy";
+                    "era" => era);
+            }
+            Notice::LeaseEnded => slog::warn!(log, "lease lost"),
+            Notice::NodeLost { node } => {
+                slog::warn!(log, "node is silent"; "node" => node);
+            }
+            Notice::Revoked { node, wait_ms } => slog::warn!(log,
+                "lease of a lost node revoked";
+                "node" => node, "ends_in_ms" => wait_ms),
             _ => {}
         }
     }
--- a/crates/node/src/fleet/peers.rs
+++ b/crates/node/src/fleet/peers.rs
@@ -70,8 +70,8 @@
 /// How long ago a node's configuration was the latest one.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct ConfigAge {
-    /// Store revision of the configuration.
-    pub revision: u64,
+    /// Version of the configuration.
+    pub version: u64,
     /// Age of the proof, in milliseconds.
     pub age_ms: u64,
 }
--- a/crates/node/src/fleet/shell.rs
+++ b/crates/node/src/fleet/shell.rs
@@ -14,6 +14,7 @@
     Call as StoreCall, Document, Event, Load, ObjectKind, Order, Source,
     StoreOutcome,
 };
+use lagoondyke_core::fleet::revision::number_of;
 use lagoondyke_core::fleet::settings::Settings;
 use lagoondyke_core::fleet::upstream::{Announcement, Grant};
 use lagoondyke_core::fleet::withdrawal::Arrivals;
@@ -218,8 +219,8 @@
     pub fn config_age(&self) -> Option<ConfigAge> {
         let fleet = self.inner.fleet.borrow();
         let age_ms = fleet.config_age_ms(clock::since_boot())?;
-        let revision = fleet.config_revision();
-        Some(ConfigAge { revision, age_ms })
+        let version = fleet.config_version();
+        Some(ConfigAge { version, age_ms })
     }
 
     /// The document of this kind, for a peer that fetches it; `None` if this
@@ -243,7 +244,9 @@
         let (calls, oldest_ms) = fleet.pending_calls(clock::since_boot());
         self.inner.metrics.set_key_calls(calls, oldest_ms);
         let version = fleet.config().map_or(0, |config| config.version);
-        self.inner.metrics.set_config(version, fleet.config_revision());
+        let revision = number_of(fleet.config_revision());
+        self.inner.metrics.set_config(version, revision);
+        self.inner.metrics.set_store_era(fleet.store_era());
         let age_ms = fleet.config_age_ms(clock::since_boot());
         self.inner.metrics.set_config_age(age_ms);
         self.inner.metrics.render()
@@ -375,9 +378,9 @@
                 let shell = self.clone();
                 monoio::spawn(async move {
                     let age = shell.inner.peers.config_age(from).await;
-                    if let Some(ConfigAge { revision, age_ms }) = age {
+                    if let Some(ConfigAge { version, age_ms }) = age {
                         let event =
-                            Event::ConfigAge { asked, revision, age_ms };
+                            Event::ConfigAge { asked, version, age_ms };
                         shell.post(event);
                     }
                 });
