Keep an acknowledged exit across a restore of the store

Cause: the exit was in the node's record only. The node did not notice the restore and did not write the record again; the next process read the copy.

Why it works: a node whose upstream is leaving writes its record again as soon as it notices a restore. If it has ended by then, its peers know the exit from its gossip and tell the next process. A process whose record was written in an earlier era does not use its upstream for the second in which it would be told.

Three tests of restore.rs; one fails each time when the record is not written at once, when peers tell nothing, and when the process does not wait.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -20,6 +20,7 @@
 pub mod config;
 mod config_proof;
 mod crash_memory;
+mod departures;
 mod documents;
 pub mod effect;
 pub mod event;
--- a/crates/core/src/fleet/effect.rs
+++ b/crates/core/src/fleet/effect.rs
@@ -291,6 +291,12 @@
         /// Its era since then.
         era: u64,
     },
+    /// A peer told this process that its upstream had reported its exit to an
+    /// earlier one.
+    ExitRecalled {
+        /// Name of the upstream.
+        id: String,
+    },
     /// Another node is considered lost.
     NodeLost {
         /// Name of the node.
--- a/crates/core/src/fleet/exit.rs
+++ b/crates/core/src/fleet/exit.rs
@@ -5,10 +5,14 @@
 //! acknowledged when the node's record in the store names the upstream as
 //! leaving. While the store does not take the record, the report is refused,
 //! which promises nothing; the upstream gets no new requests either way.
+//!
+//! A restore of the store may take the exit out of the record. The node then
+//! writes it again; if the node has ended, its peers tell the next process.
 
 use crate::clock::Millis;
 use crate::fleet::effect::{Effect, Notice};
 use crate::fleet::reducer::Fleet;
+use crate::fleet::table::Instance;
 use crate::id::Ticket;
 
 /// Longest time that a report waits for the record. The upstream waits for one
@@ -34,6 +38,24 @@
         self.answer_exits(now, out);
     }
 
+    /// Applies what a peer remembers of an earlier process of this node.
+    pub(super) fn recall_exit(
+        &mut self,
+        recalled: Vec<(String, Instance)>,
+        now: Millis,
+        out: &mut Vec<Effect>,
+    ) {
+        let own = &self.settings.node;
+        let instance = recalled.into_iter().find(|(node, _)| node == own);
+        let Some((_, instance)) = instance else { return };
+        if self.upstream.leaving_instance().as_ref() == Some(&instance) {
+            return;
+        }
+        let id = instance.id.clone();
+        out.push(Effect::Notice(Notice::ExitRecalled { id }));
+        self.adopt_leaving(Some(&instance), now, out);
+    }
+
     /// Acknowledges the reports whose exit is recorded, and refuses those that
     /// have waited too long.
     pub(super) fn answer_exits(&mut self, now: Millis, out: &mut Vec<Effect>) {
--- a/crates/core/src/fleet/gossip.rs
+++ b/crates/core/src/fleet/gossip.rs
@@ -91,6 +91,11 @@
     pub versions: Versions,
     /// Revision of the latest table of its service that the node knows.
     pub table: u64,
+    /// The upstream, if it is leaving.
+    pub departed: Option<Instance>,
+    /// Nodes whose process is a new one, and the upstream that was leaving at
+    /// the process before it.
+    pub recalled: Vec<(String, Instance)>,
     /// Requests that were running at its upstream when it crashed.
     pub suspects: Vec<Fingerprint>,
 }
--- a/crates/core/src/fleet/lease.rs
+++ b/crates/core/src/fleet/lease.rs
@@ -77,6 +77,10 @@
 pub struct Record {
     /// Random id of the process that wrote the record.
     pub incarnation: u64,
+    /// Era of the store that the writer knew. In a later one the record comes
+    /// from a copy, and may lack what was written after it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub era: Option<u64>,
     /// Number of renewals so far, so that each renewal changes the object.
     pub count: u64,
     /// Address for gossip datagrams.
@@ -113,8 +117,8 @@
             }
         }
         harmful.truncate(MAX_REVOKED_HARMFUL_COUNT);
-        let leaving = self.leaving.clone();
-        Self { revoked: true, harmful, leaving, ..Self::default() }
+        let Self { era, leaving, .. } = self.clone();
+        Self { revoked: true, era, harmful, leaving, ..Self::default() }
     }
 }
 
--- a/crates/core/src/fleet/peer_sync.rs
+++ b/crates/core/src/fleet/peer_sync.rs
@@ -49,6 +49,8 @@
             lease,
             versions: self.versions,
             table: self.own_table_revision(),
+            departed: self.upstream.leaving_instance(),
+            recalled: self.departures.recalled(now),
             suspects: self.requests.crashes.report(now),
         };
         let to = self.directory.addresses().collect();
@@ -115,6 +117,8 @@
                 .get(&node)
                 .is_some_and(|peer| peer.gossip.incarnation == incarnation);
         let suspects = gossip.suspects.clone();
+        let (departed, recalled) =
+            (gossip.departed.clone(), gossip.recalled.clone());
         if !self.directory.update(from, gossip, now) {
             return;
         }
@@ -126,6 +130,10 @@
         let finding = crashes.record_report(process, &suspects, now);
         log_finding(finding, &node, out);
         self.takeovers.remove(&node);
+        if self.departures.record((&node, incarnation), departed, now) {
+            self.gossip_due = now;
+        }
+        self.recall_exit(recalled, now, out);
         let is_behind = self.is_table_behind(now);
         for kind in
             [ObjectKind::Config, ObjectKind::Domains, ObjectKind::Tables]
--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -9,6 +9,7 @@
 use crate::clock::Millis;
 use crate::fleet::config::Config;
 use crate::fleet::config_proof::ConfigProof;
+use crate::fleet::departures::Departures;
 use crate::fleet::documents::{Feed, VersionedTable};
 use crate::fleet::effect::{Effect, Notice};
 use crate::fleet::event::{Document, Event, Load, ObjectKind, Outcome};
@@ -90,6 +91,7 @@
     pub(super) feeds: [Feed; 3],
     pub(super) renewal: Renewal,
     pub(super) restore: Restore,
+    pub(super) departures: Departures,
     /// Announcement whose answer waits until the node has claimed its ranges,
     /// and when it arrived.
     pub(super) waiting_announcement: Option<(Ticket, Millis)>,
@@ -152,6 +154,7 @@
             .map(|kind| Feed::new(kind, now)),
             renewal: Renewal { due: now, ..Renewal::default() },
             restore: Restore::default(),
+            departures: Departures::default(),
             waiting_announcement: None,
             config_proof: ConfigProof::default(),
             waiting_exits: WaitingExits::new(),
@@ -386,13 +389,15 @@
     /// Whether requests may be sent to the local upstream. While it drains, or
     /// its failure domain is out of service, they may be for a limited time,
     /// in which its keys are handed over. A process that has not read its
-    /// node's record may not know that the upstream is leaving.
+    /// node's record, or only one from before a restore of the store, may not
+    /// know that the upstream is leaving.
     pub(super) fn is_serving(&self, now: Millis) -> bool {
         let bounds = &self.settings.bounds;
         let over = |since: Option<Millis>, span: u64| {
             since.is_some_and(|since| now.since(since) >= span)
         };
         self.renewal.record_known
+            && now >= self.renewal.recall_until
             && self.upstream.is_up()
             && !self.upstream.was_leaving_at_start()
             && !over(self.upstream.leaving_since(), bounds.drain_ms())
--- a/crates/core/src/fleet/renewal.rs
+++ b/crates/core/src/fleet/renewal.rs
@@ -12,12 +12,18 @@
     RENEWAL_INTERVAL_MS, RENEWAL_RETRY_MS, Record,
 };
 use crate::fleet::reducer::Fleet;
+use crate::fleet::revision::era_of;
 use crate::fleet::table::Instance;
 
 /// While the store does not answer this node, one in this many calls still
 /// goes to the store directly instead of through a peer.
 const CALLS_PER_DIRECT_COUNT: u32 = 3;
 
+/// Time in which peers answer the first gossip of a process with the exit that
+/// an earlier one had reported. A record from before a restore of the store may
+/// lack it.
+const EXIT_RECALL_MS: u64 = 1_000;
+
 /// State of lease renewal.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Renewal {
@@ -30,6 +36,9 @@
     pub(super) calls: u32,
     /// Whether this process has read or written its record in the store.
     pub(super) record_known: bool,
+    /// Until when the upstream is not used, as peers may still tell that it is
+    /// leaving.
+    pub(super) recall_until: Millis,
     /// The leaving upstream that the last record names.
     pub(super) recorded_leaving: Option<Instance>,
     /// The leaving upstream that the store is known to hold.
@@ -68,6 +77,7 @@
         self.renewal.recorded_leaving.clone_from(&leaving);
         let value = Value::Node(Record {
             incarnation: self.incarnation,
+            era: self.restore.era.filter(|&era| era > 0),
             count: self.renewal_count,
             gossip: self.settings.gossip_addr().to_string(),
             domain: self.settings.domain.clone(),
@@ -173,6 +183,9 @@
                 let crashes = &mut self.requests.crashes;
                 crashes.adopt_record(&record.harmful, now);
                 self.adopt_leaving(record.leaving.as_ref(), now, out);
+                if record.era.unwrap_or(0) < era_of(item.revision) {
+                    self.renewal.recall_until = now.plus(EXIT_RECALL_MS);
+                }
             }
             self.renewal.record_known = true;
             self.lease.revision = item.revision;
@@ -196,7 +209,7 @@
     }
 
     /// Applies which upstream was leaving at an earlier process of the node.
-    fn adopt_leaving(
+    pub(super) fn adopt_leaving(
         &mut self,
         instance: Option<&Instance>,
         now: Millis,
--- a/crates/core/tests/fleet/malformed.rs
+++ b/crates/core/tests/fleet/malformed.rs
@@ -77,6 +77,8 @@
             tables: number(random),
         },
         table: number(random),
+        departed: random.random_bool(0.2).then(|| instance(random)),
+        recalled: vec![(name(random), instance(random))],
         suspects: suspects.map(|_| Fingerprint(number(random))).collect(),
     }
 }
@@ -192,6 +194,7 @@
     let harmful = 0..random.random_range(0..3);
     Record {
         incarnation: random.random_range(0..3),
+        era: random.random::<bool>().then(|| number(random)),
         count: number(random),
         gossip: ["10.0.0.2:6", "", "x"][random.random_range(0..3)].to_owned(),
         domain: "d".to_owned(),
--- a/crates/core/tests/fleet/restore.rs
+++ b/crates/core/tests/fleet/restore.rs
@@ -7,17 +7,24 @@
     Call, Document, Event, Item, ObjectKind, StoreOutcome, Value,
 };
 use lagoondyke_core::fleet::gossip::{Gossip, Versions};
-use lagoondyke_core::fleet::lease::LEASE_DURATION_MS;
+use lagoondyke_core::fleet::lease::{LEASE_DURATION_MS, Record};
 use lagoondyke_core::fleet::revision::qualify;
 use lagoondyke_core::fleet::upstream::Phase;
 
 use crate::ownership::{RECOVERY_MS, SETTLE_MS, clear_faults, inject_fault};
-use crate::requests::Harness;
+use crate::requests::{Harness, dispatches};
 use crate::support::{Simulation, StoreFaults, WatchFault, settings};
 
 /// Time for which the store is away before it is restored.
 const AWAY_MS: u64 = 500;
 
+/// Time in which a node writes its record again after a restore if it names a
+/// leaving upstream.
+const REWRITE_MS: u64 = 700;
+
+/// Time in which peers tell a new process of an exit.
+const RECALL_MS: u64 = 1_000;
+
 /// Time within which a change of the operator's documents is in force.
 const CONFIG_MS: u64 = 2_000;
 
@@ -193,6 +200,51 @@
     }
 }
 
+/// Guards against an exit that a restore takes out of the node's record: the
+/// node's next process used the leaving upstream again.
+#[test]
+fn an_exit_is_written_again_after_a_restore() {
+    for seed in 0..5 {
+        let mut sim = settled(4, seed);
+        sim.copy_store();
+        sim.report_exit(1);
+        sim.run(300);
+        let leaving = sim.record(1).and_then(|record| record.leaving);
+        assert!(leaving.is_some(), "the exit is recorded");
+        restore(&mut sim);
+        assert_eq!(sim.record(1).and_then(|record| record.leaving), None);
+        sim.run(REWRITE_MS);
+        let written = sim.record(1).and_then(|record| record.leaving);
+        assert_eq!(written, leaving, "seed {seed}");
+    }
+}
+
+/// Guards against an exit that is lost for good if the node ends before it can
+/// write it again: only its peers know of it then.
+#[test]
+fn peers_tell_a_new_process_of_an_exit_that_a_restore_took() {
+    for seed in 0..10 {
+        let mut sim = settled(4, seed);
+        sim.copy_store();
+        sim.report_exit(1);
+        sim.run(300);
+        sim.kill_node(1);
+        restore(&mut sim);
+        let span = sim.random(4_000);
+        sim.run(span);
+        sim.start_node(1);
+        for _ in 0..80 {
+            sim.run(100);
+            assert!(!sim.is_offered(1), "seed {seed}");
+        }
+        // A new instance of the upstream is used.
+        sim.start_upstream(1);
+        sim.run(3_000);
+        assert!(sim.is_offered(1), "seed {seed}");
+        assert_no_violation(&sim);
+    }
+}
+
 /// Guards against a change of the configuration that a restore takes back: a
 /// process that starts then reads the earlier one, and its peers keep theirs.
 #[test]
@@ -464,6 +516,25 @@
     assert_no_violation(&sim);
 }
 
+/// Guards against a process that uses its upstream before its peers could tell
+/// that it is leaving: its record comes from a copy, which may lack the exit.
+#[test]
+fn a_record_from_before_a_restore_does_not_prove_that_an_upstream_stays() {
+    for (written, waits) in [(Some(1), true), (Some(2), false)] {
+        let mut harness = Harness::unread();
+        let record = Record { era: written, ..Record::default() };
+        let (name, revision) = ("n0".to_owned(), qualify(2, 5));
+        let value = Some(Value::Node(record));
+        harness.read_record(Item { name, revision, value });
+        harness.announce(Phase::Ready, 4);
+        let sent = dispatches(&harness.peer_request(0, 5_000));
+        assert_eq!(sent, usize::from(!waits), "{written:?}");
+        harness.now += RECALL_MS;
+        let sent = dispatches(&harness.peer_request(0, 5_000));
+        assert!(sent > 0, "{written:?}");
+    }
+}
+
 /// Guards against a configuration that counts as the latest one because the
 /// store has just come back with it, while a peer has a later one.
 #[test]
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -144,6 +144,8 @@
     process: u64,
     /// Start time of the instance to which its connections for calls lead.
     connected_to: u64,
+    /// Whether its latest gossip names an upstream that serves requests.
+    offers: bool,
 }
 
 /// Something that happens at a simulated instant.
@@ -327,6 +329,7 @@
                 store_denied: false,
                 process: 0,
                 connected_to: 0,
+                offers: false,
             });
             sim.upstreams.push(Upstream {
                 up: false,
@@ -409,6 +412,7 @@
         let incarnation = node.process * 100 + index as u64;
         // Its connections have ended with the earlier process.
         node.connected_to = 0;
+        node.offers = false;
         let mut settings = Settings { grants: self.mode, ..settings(index) };
         settings.bounds.revoke_ms = self.revoke_ms;
         node.fleet = Some(Fleet::new(settings, incarnation, seed, now));
@@ -561,6 +565,13 @@
         self.deliver(index, process, event);
     }
 
+    /// Whether a node's gossip has last named its upstream as one that serves
+    /// requests.
+    pub fn is_offered(&self, index: usize) -> bool {
+        let node = &self.nodes[index];
+        node.fleet.is_some() && node.offers
+    }
+
     /// The record of a node in the store.
     pub fn record(&self, index: usize) -> Option<Record> {
         let key = (ObjectKind::Nodes, format!("n{index}"));
@@ -690,6 +701,7 @@
         let process = self.nodes[index].process;
         match effect {
             Effect::Send { to, gossip } => {
+                self.nodes[index].offers = gossip.instance.is_some();
                 if !self.nodes[index].connected {
                     return;
                 }
--- a/crates/node/src/fleet/notice_log.rs
+++ b/crates/node/src/fleet/notice_log.rs
@@ -265,6 +265,10 @@
                 slog::warn!(log, "store was restored from an earlier copy";
                     "era" => era);
             }
+            Notice::ExitRecalled { id } => {
+                slog::warn!(log, "a peer knows that the upstream is leaving";
+                    "id" => id);
+            }
             Notice::LeaseEnded => slog::warn!(log, "lease lost"),
             Notice::NodeLost { node } => {
                 slog::warn!(log, "node is silent"; "node" => node);
