Bound the memory of all answers that are being read

What callers saw: another operator's machine kept bytes without end from a faulty server, ran out of memory, and the requests of other clients on it ended.

Cause: each pool of connections had 32 MB to itself; only bytes that had arrived counted, while a buffer for a body of a stated length was as large as that length at once; heads did not count.

Ruled out: one answer beyond its limit (each framing was given up), and time.

Why it works: buffers grow with what arrives and count with their capacity, heads too; upstream and other nodes have 24 MB each, the store 12 MB, calls about keys 1 MB. Members of groups have the same limits for upstream, store and frames. A single chunk is not copied, so that a whole 16 MB answer still fits.

--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -1,4 +1,9 @@
-//! A limit that several connections share on the bytes that they buffer.
+//! A limit that several connections share on the memory of what they read.
+//!
+//! A faulty server may send bytes without end on many connections at once. What
+//! a node reads from its upstream, from other nodes and from the store has a
+//! budget each, so that together they stay within the memory of the smallest VM
+//! (160 MB), and a faulty upstream does not keep the node from the store.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -37,7 +42,7 @@
         let Some(budget) = &self.budget else { return Ok(()) };
         let more = size.saturating_sub(self.held);
         let left = budget.left.get().checked_sub(more);
-        budget.left.set(left.ok_or(WireError::BodyTooLarge)?);
+        budget.left.set(left.ok_or(WireError::BudgetExceeded)?);
         self.held += more;
         Ok(())
     }
--- a/crates/node/src/fleet/peers.rs
+++ b/crates/node/src/fleet/peers.rs
@@ -39,6 +39,9 @@
 /// Largest body of an answer.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
+/// Most memory for the answers that are being read.
+const MAX_ANSWERS_MEMORY: usize = 24 * 1024 * 1024;
+
 /// Longest idle time after which a connection is reused. Less than the time
 /// after which the other node closes it.
 const MAX_IDLE_MS: u64 = 10_000;
@@ -99,7 +102,11 @@
 impl Default for PeerClient {
     fn default() -> Self {
         Self {
-            pool: Pool::new(CONNECT_TIMEOUT, MAX_ANSWER_BYTES),
+            pool: Pool::new(
+                CONNECT_TIMEOUT,
+                MAX_ANSWER_BYTES,
+                MAX_ANSWERS_MEMORY,
+            ),
             next_id: Rc::new(Cell::new(rand::random())),
         }
     }
--- a/crates/node/src/fleet/pool.rs
+++ b/crates/node/src/fleet/pool.rs
@@ -21,10 +21,6 @@
 /// memory on both sides, and a burst of requests opens many.
 const MAX_IDLE_COUNT: usize = 12;
 
-/// Most bytes that the response bodies being read may take together, whatever
-/// the limit of each. A VM may have as little as 160 MB of memory.
-const MAX_BUFFERED_BYTES: usize = 32 * 1024 * 1024;
-
 /// Idle time after which a connection is closed, which happens when another
 /// one to the same address becomes idle.
 const MAX_IDLE_AGE_MS: u64 = 5_000;
@@ -66,10 +62,15 @@
 
 impl Pool {
     /// Creates a client that accepts response bodies of at most `max_body`
-    /// bytes.
+    /// bytes. The responses that are being read take at most `max_memory` bytes
+    /// together.
     #[must_use]
-    pub fn new(connect_timeout: Duration, max_body: usize) -> Self {
-        let budget = Budget::new(MAX_BUFFERED_BYTES);
+    pub fn new(
+        connect_timeout: Duration,
+        max_body: usize,
+        max_memory: usize,
+    ) -> Self {
+        let budget = Budget::new(max_memory);
         Self { idle: Rc::default(), connect_timeout, max_body, budget }
     }
 
--- a/crates/node/src/fleet/upstream.rs
+++ b/crates/node/src/fleet/upstream.rs
@@ -26,6 +26,9 @@
 /// Largest body of an answer.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
+/// Most memory for the answers that are being read.
+const MAX_ANSWERS_MEMORY: usize = 24 * 1024 * 1024;
+
 /// Longest idle time after which a connection is reused for a request that is
 /// not idempotent. The upstream may have closed an idle connection, and such a
 /// request must not be repeated once it is lost.
@@ -46,6 +49,9 @@
 /// Largest body of the answer to a call about keys.
 const MAX_CALL_ANSWER_BYTES: usize = 64 * 1024;
 
+/// Most memory for the answers to such calls that are being read.
+const MAX_CALL_ANSWERS_MEMORY: usize = 1024 * 1024;
+
 /// A client of the upstream. Clones share its connections.
 #[derive(Clone)]
 pub struct UpstreamClient {
@@ -109,8 +115,13 @@
     /// Creates a client of the upstream at `addr`.
     #[must_use]
     pub fn new(addr: SocketAddr, dialect: Rc<dyn Dialect>) -> Self {
-        let pool = Pool::new(CONNECT_TIMEOUT, MAX_ANSWER_BYTES);
-        let calls = Pool::new(CONNECT_TIMEOUT, MAX_CALL_ANSWER_BYTES);
+        let pool =
+            Pool::new(CONNECT_TIMEOUT, MAX_ANSWER_BYTES, MAX_ANSWERS_MEMORY);
+        let calls = Pool::new(
+            CONNECT_TIMEOUT,
+            MAX_CALL_ANSWER_BYTES,
+            MAX_CALL_ANSWERS_MEMORY,
+        );
         Self { addr, pool, calls, dialect }
     }
 
--- a/crates/node/src/frames.rs
+++ b/crates/node/src/frames.rs
@@ -15,6 +15,7 @@
 use monoio::io::AsyncReadRent;
 use monoio::net::TcpStream;
 
+use crate::budget::{Budget, Reservation};
 use crate::message::{Answer, Call, is_passed_on};
 use crate::ports::Forward;
 use crate::wire::set_option;
@@ -32,13 +33,21 @@
 pub struct FrameReader<R> {
     stream: R,
     buf: BytesMut,
+    budget: Option<Budget>,
 }
 
 impl<R: AsyncReadRent> FrameReader<R> {
     /// Creates a reader with an empty buffer.
     #[must_use]
     pub fn new(stream: R) -> Self {
-        Self { stream, buf: BytesMut::new() }
+        Self { stream, buf: BytesMut::new(), budget: None }
+    }
+
+    /// Makes the frames that are being read take their memory from `budget`.
+    /// By default only the limit of each frame applies.
+    #[must_use]
+    pub fn with_budget(self, budget: Budget) -> Self {
+        Self { budget: Some(budget), ..self }
     }
 
     /// The next frame and its body; `None` at the end of the stream.
@@ -51,10 +60,14 @@
     pub async fn next(
         &mut self,
     ) -> Result<Option<(Frame, Bytes)>, FrameError> {
+        let mut reserved = Reservation::new(self.budget.clone());
         loop {
             if let Some(frame) = split_frame(&mut self.buf)? {
                 return Ok(Some(frame));
             }
+            let size = self.buf.capacity();
+            let result = reserved.grow_to(size);
+            result.map_err(|_| FrameError::TooLarge { size })?;
             match self.fill().await {
                 Ok(0) | Err(_) if self.buf.is_empty() => return Ok(None),
                 Ok(0) | Err(_) => return Err(FrameError::Truncated),
@@ -89,9 +102,6 @@
         return Err(FrameError::TooLarge { size });
     }
     if buf.len() < 4 + size {
-        // Reserves room for the rest of the frame at once, which avoids
-        // repeated growth.
-        buf.reserve(4 + size - buf.len());
         return Ok(None);
     }
     let bytes = buf.split_to(4 + size).freeze();
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -23,6 +23,7 @@
 use monoio::net::tcp::{TcpOwnedReadHalf, TcpOwnedWriteHalf};
 use monoio::time::timeout;
 
+use crate::budget::Budget;
 use crate::clock;
 use crate::frames::{FrameReader, answer_of, request_frame, set_user_timeout};
 use crate::message::Reply;
@@ -58,6 +59,9 @@
 /// at least two frames of the largest size.
 const MAX_QUEUED_BYTES: usize = 8 * 1024 * 1024;
 
+/// Most memory for the answers that are being read.
+const MAX_ANSWERS_MEMORY: usize = 24 * 1024 * 1024;
+
 /// Size at which no further queued frames are added to a batch.
 const FULL_BATCH_BYTES: usize = 64 * 1024;
 
@@ -69,14 +73,26 @@
 
 type SharedConnections = Rc<RefCell<Connections>>;
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Connections {
+    /// Memory for the answers that are being read.
+    budget: Budget,
     open: HashMap<NodeAddr, Rc<Connection>>,
     /// Peers that stopped answering and have sent no frame since. On a new
     /// connection they must answer a ping before requests are sent.
     unresponsive: HashSet<NodeAddr>,
 }
 
+impl Default for Connections {
+    fn default() -> Self {
+        Self {
+            budget: Budget::new(MAX_ANSWERS_MEMORY),
+            open: HashMap::new(),
+            unresponsive: HashSet::new(),
+        }
+    }
+}
+
 /// A connection to one peer, or the attempt to make it.
 struct Connection {
     to: NodeAddr,
@@ -290,7 +306,8 @@
         let _ = stream.set_nodelay(true);
         set_user_timeout(&stream);
         let (read, mut write) = stream.into_split();
-        let mut reader = FrameReader::new(read);
+        let budget = connections.borrow().budget.clone();
+        let mut reader = FrameReader::new(read).with_budget(budget);
         let unresponsive =
             connections.borrow().unresponsive.contains(&self.to);
         if unresponsive {
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -13,6 +13,7 @@
 use monoio::net::TcpStream;
 use monoio::time::timeout;
 
+use crate::budget::Budget;
 use crate::http::{ExchangeError, Response, exchange, request_line};
 use crate::ports::{Local, Store};
 use crate::wire::{Conn, put_header};
@@ -30,6 +31,9 @@
 /// store, so a few are enough for the calls at a change of leader.
 const MAX_IDLE_COUNT: usize = 4;
 
+/// Most memory for the responses that are being read.
+const MAX_RESPONSES_MEMORY: usize = 12 * 1024 * 1024;
+
 /// A client of the store; clones share its connections.
 #[derive(Clone, Debug)]
 pub struct HttpStore {
@@ -40,6 +44,7 @@
 struct Inner {
     addr: SocketAddr,
     idle: RefCell<Vec<Conn>>,
+    budget: Budget,
 }
 
 /// Why a call has no response.
@@ -54,7 +59,9 @@
     /// Creates a client of the store at `addr`. It connects at the first call.
     #[must_use]
     pub fn new(addr: SocketAddr) -> Self {
-        let inner = Inner { addr, idle: RefCell::default() };
+        let (idle, budget) =
+            (RefCell::default(), Budget::new(MAX_RESPONSES_MEMORY));
+        let inner = Inner { addr, idle, budget };
         Self { inner: Rc::new(inner) }
     }
 }
@@ -148,7 +155,9 @@
             }
         }
         let stream = TcpStream::connect_addr(self.addr).await;
-        stream.map(Conn::new).map_err(|_| CallError::Unsent)
+        let mut conn = Conn::new(stream.map_err(|_| CallError::Unsent)?);
+        conn.set_budget(self.budget.clone());
+        Ok(conn)
     }
 }
 
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -24,6 +24,7 @@
 use monoio::net::TcpStream;
 use monoio::time::timeout;
 
+use crate::budget::Budget;
 use crate::clock;
 use crate::grants::Grants;
 use crate::http::{ExchangeError, Response, named_exchange, request_line};
@@ -41,6 +42,9 @@
 /// Time for a connection to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Most memory for the answers that are being read.
+const MAX_ANSWERS_MEMORY: usize = 24 * 1024 * 1024;
+
 /// Age up to which the end of the probe connection means a crash. An upstream
 /// may close older idle connections on its own.
 const MAX_PROBE_AGE_MS: u64 = 1_000;
@@ -60,6 +64,7 @@
     host: String,
     node: Rc<str>,
     idle: RefCell<Vec<Conn>>,
+    budget: Budget,
     permits: Semaphore,
     /// Id of the last request that was sent, by which its answer is told from
     /// a late copy of another.
@@ -95,6 +100,7 @@
             host: settings.addr.to_string(),
             node: node.into(),
             idle: RefCell::default(),
+            budget: Budget::new(MAX_ANSWERS_MEMORY),
             permits: Semaphore::new(usize::from(limit)),
             last_request: Cell::new(0),
             grants: Grants::new(settings.addr),
@@ -205,7 +211,11 @@
         }
         let connect = TcpStream::connect_addr(self.addr);
         match timeout(CONNECT_TIMEOUT, connect).await {
-            Ok(Ok(stream)) => Ok((Conn::new(stream), true)),
+            Ok(Ok(stream)) => {
+                let mut conn = Conn::new(stream);
+                conn.set_budget(self.budget.clone());
+                Ok((conn, true))
+            }
             _ => Err(RunError::Unsent),
         }
     }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -68,6 +68,8 @@
     HeadTooLarge,
     /// The body exceeds the limit that the reader set.
     BodyTooLarge,
+    /// The messages being read exceed the memory set aside for them.
+    BudgetExceeded,
     /// The message is not valid HTTP/1.1, for the reason given.
     Malformed(String),
 }
@@ -80,6 +82,9 @@
                 write!(f, "head exceeds the limit of {MAX_HEAD_BYTES} bytes")
             }
             Self::BodyTooLarge => f.write_str("body exceeds its limit"),
+            Self::BudgetExceeded => f.write_str(
+                "the messages being read exceed the memory set aside for them",
+            ),
             Self::Malformed(what) => f.write_str(what),
         }
     }
@@ -93,7 +98,9 @@
     pub fn status(&self) -> StatusCode {
         match self {
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTooLarge | Self::BudgetExceeded => {
+                StatusCode::PAYLOAD_TOO_LARGE
+            }
             Self::Closed | Self::Malformed(_) => StatusCode::BAD_REQUEST,
         }
     }
@@ -170,8 +177,8 @@
         self.unframed = true;
     }
 
-    /// Makes the bodies that are being read take their bytes from `budget`.
-    /// By default only the limit of each body applies.
+    /// Makes the responses that are being read take their memory from `budget`.
+    /// By default only the limits of each head and body apply.
     pub fn set_budget(&mut self, budget: Budget) {
         self.budget = Some(budget);
     }
@@ -274,6 +281,7 @@
     ///
     /// Returns an error if the head is cut off, oversized or malformed.
     pub async fn response_head(&mut self) -> Result<ResponseHead, WireError> {
+        let mut reserved = Reservation::new(self.budget.clone());
         let mut skipped = 0;
         loop {
             match decode_response(&mut self.buf)? {
@@ -292,6 +300,7 @@
                 Some(head) => return Ok(head),
                 None => {}
             }
+            reserved.grow_to(self.buf.len())?;
             if let Ok(0) | Err(_) = self.fill().await {
                 return Err(WireError::Closed);
             }
@@ -332,11 +341,8 @@
         size: usize,
         reserved: &mut Reservation,
     ) -> Result<Bytes, WireError> {
-        if self.buf.capacity() < size {
-            self.buf.reserve(size - self.buf.len());
-        }
         while self.buf.len() < size {
-            reserved.grow_to(self.buf.len())?;
+            self.make_room(size, 0, reserved)?;
             if let Ok(0) | Err(_) = self.fill().await {
                 return Err(WireError::Closed);
             }
@@ -354,7 +360,7 @@
             if self.buf.len() > limit {
                 return Err(WireError::BodyTooLarge);
             }
-            reserved.grow_to(self.buf.len())?;
+            self.make_room(limit, 0, reserved)?;
             match self.fill().await {
                 Ok(0) => return Ok(self.buf.split().freeze()),
                 Ok(_) => {}
@@ -369,22 +375,26 @@
         reserved: &mut Reservation,
     ) -> Result<Bytes, WireError> {
         let mut decoder = ChunkedBodyDecoder::default();
-        let mut body = BytesMut::new();
+        let mut body = ChunkedBody::default();
         let mut consumed = 0;
         loop {
             let before = self.buf.len();
             let decoded = decoder.decode(&mut self.buf);
             consumed += before - self.buf.len();
             match decoded.map_err(decode_error)? {
-                Decoded::Some(None) => return Ok(body.freeze()),
-                Decoded::Some(Some(chunk)) => body.extend_from_slice(&chunk),
+                Decoded::Some(None) => return Ok(body.finish()),
+                Decoded::Some(Some(chunk)) => {
+                    let size = body.size_with(&chunk) + self.buf.capacity();
+                    reserved.grow_to(size)?;
+                    body.push(chunk);
+                }
                 // The decoder needs a whole chunk in the buffer, so the limit
                 // must also hold for a chunk that is not complete.
                 _ if self.buf.len() > limit => {
                     return Err(WireError::BodyTooLarge);
                 }
                 _ => {
-                    reserved.grow_to(body.len() + self.buf.len())?;
+                    self.make_room(limit, body.size(), reserved)?;
                     if let Ok(0) | Err(_) = self.fill().await {
                         return Err(WireError::Closed);
                     }
@@ -397,6 +407,27 @@
         }
     }
 
+    /// Makes room for the next bytes of a body, of which at most `limit` bytes
+    /// are in the buffer, and reserves its memory together with `other` bytes.
+    /// The buffer grows as bytes arrive: the length that a peer announces says
+    /// nothing of what it sends.
+    fn make_room(
+        &mut self,
+        limit: usize,
+        other: usize,
+        reserved: &mut Reservation,
+    ) -> Result<(), WireError> {
+        let (len, capacity) = (self.buf.len(), self.buf.capacity());
+        if capacity - len >= READ_BYTES / 4 {
+            return reserved.grow_to(capacity + other);
+        }
+        let doubled = (2 * capacity).min(limit.saturating_add(READ_BYTES));
+        let target = doubled.max(len + READ_BYTES);
+        reserved.grow_to(target + other)?;
+        self.buf.reserve(target - len);
+        Ok(())
+    }
+
     /// Waits for the next bytes or the end of the stream. Unlike with
     /// [`Conn::fill`], the read buffer is not lost if this is cancelled.
     ///
@@ -462,6 +493,47 @@
     }
 }
 
+/// The chunks of a body that have been decoded. A single one is not copied.
+#[derive(Debug, Default)]
+struct ChunkedBody {
+    first: Bytes,
+    rest: BytesMut,
+}
+
+impl ChunkedBody {
+    fn len(&self) -> usize {
+        self.first.len() + self.rest.len()
+    }
+
+    /// Memory that the chunks take.
+    fn size(&self) -> usize {
+        self.first.len() + self.rest.capacity()
+    }
+
+    /// Memory that the chunks take together with another one.
+    fn size_with(&self, chunk: &Bytes) -> usize {
+        let needed = self.len() + chunk.len();
+        if self.rest.capacity() >= needed {
+            return self.size();
+        }
+        self.first.len() + needed.max(2 * self.rest.capacity())
+    }
+
+    fn push(&mut self, chunk: Bytes) {
+        if self.len() == 0 {
+            self.first = chunk;
+            return;
+        }
+        let first = std::mem::take(&mut self.first);
+        self.rest.extend_from_slice(&first);
+        self.rest.extend_from_slice(&chunk);
+    }
+
+    fn finish(self) -> Bytes {
+        if self.rest.is_empty() { self.first } else { self.rest.freeze() }
+    }
+}
+
 /// The send queue of a connection's socket. Must not outlive the connection.
 #[derive(Clone, Copy, Debug)]
 pub struct SendQueue(RawFd);
