Restores: bound the datagram, the wait and the stored terms

Found when the change was read again: - Recalled exits could make a datagram longer than receivers accept, so that its sender seemed lost. What has no room is left out; the test of the largest datagram has the new fields, and failed without that. - The wait before a table is rebuilt grew with the fleet's gossip interval, to 16 s at 1,000 nodes, beyond the leases that it is to save. They are stored within the table's era.

--- a/crates/core/src/fleet/departures.rs
+++ b/crates/core/src/fleet/departures.rs
@@ -55,6 +55,9 @@
                 reported: now,
                 tell_until: None,
             };
+            let is_recent =
+                |d: &Departure| now.since(d.reported) < REMEMBER_MS;
+            self.by_node.retain(|_, departure| is_recent(departure));
             self.by_node.insert(node.to_owned(), departure);
             return false;
         }
--- a/crates/core/src/fleet/gossip.rs
+++ b/crates/core/src/fleet/gossip.rs
@@ -101,6 +101,17 @@
 }
 
 impl Gossip {
+    /// Leaves out recalled exits that a datagram has no room for. The nodes are
+    /// told again in the next ones.
+    pub fn fit(&mut self) {
+        let is_large = |gossip: &Self| {
+            gossip.encode().is_ok_and(|bytes| bytes.len() > MAX_GOSSIP_BYTES)
+        };
+        while !self.recalled.is_empty() && is_large(self) {
+            self.recalled.pop();
+        }
+    }
+
     /// Encodes a datagram.
     ///
     /// # Errors
--- a/crates/core/src/fleet/peer_sync.rs
+++ b/crates/core/src/fleet/peer_sync.rs
@@ -30,7 +30,7 @@
         let instance =
             self.upstream.instance().filter(|_| self.is_serving(now));
         let announce_ms = self.next_announcement_ms(now);
-        let gossip = Gossip {
+        let mut gossip = Gossip {
             node: self.settings.node.clone(),
             incarnation: self.incarnation,
             count: self.gossip_count,
@@ -53,6 +53,7 @@
             recalled: self.departures.recalled(now),
             suspects: self.requests.crashes.report(now),
         };
+        gossip.fit();
         let to = self.directory.addresses().collect();
         out.push(Effect::Send { to, gossip: Box::new(gossip) });
     }
--- a/crates/core/src/fleet/restore.rs
+++ b/crates/core/src/fleet/restore.rs
@@ -37,12 +37,11 @@
 /// confirmed before it have ended, by any clock.
 pub(super) const SETTLE_MS: u64 = extend_for_drift(LEASE_DURATION_MS);
 
-/// Time in which the nodes' gossip shows the tables that they know, in
-/// intervals between two datagrams.
-const REBUILD_INTERVAL_COUNT: u64 = 2;
-
-/// Time in which a table that gossip has shown is fetched from a peer.
-const REBUILD_FETCH_MS: u64 = 250;
+/// Time from when a node notices a restore until it rebuilds a table. Meanwhile
+/// gossip shows tables that are later than its own, and it fetches them. In a
+/// large fleet, whose gossip is slower, a change just before the restore may be
+/// missed, which costs time but not safety.
+const REBUILD_DELAY_MS: u64 = 650;
 
 /// Delay per live node that precedes this one by name before it rebuilds a
 /// table, so that normally only one node does.
@@ -238,9 +237,8 @@
     pub(super) fn rebuilt_table(&self, now: Millis) -> Option<Table> {
         let service = &self.settings.service;
         let known = self.tables.get(service)?;
-        let wait_ms = REBUILD_INTERVAL_COUNT * self.directory.interval_ms()
-            + REBUILD_FETCH_MS
-            + REBUILD_RANK_DELAY_MS * self.rank(now);
+        let wait_ms =
+            REBUILD_DELAY_MS + REBUILD_RANK_DELAY_MS * self.rank(now);
         if now.since(self.restore.since) < wait_ms {
             return None;
         }
--- a/crates/core/src/fleet/table.rs
+++ b/crates/core/src/fleet/table.rs
@@ -21,7 +21,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::balance::subtract;
-use crate::fleet::revision::fence_floor;
+use crate::fleet::revision::{fence_floor, number_of, qualify};
 
 /// The highest key.
 pub const MAX_KEY: u16 = u16::MAX;
@@ -87,7 +87,7 @@
     /// Highest fencing token issued so far.
     pub fence: u64,
     /// Lease term under which each node last claimed its ranges: the record
-    /// revision at which it acquired its lease.
+    /// revision at which it acquired its lease, in the table's era.
     pub claims: BTreeMap<String, u64>,
     /// Ranges in key order.
     pub ranges: Vec<Range>,
@@ -142,6 +142,9 @@
             handovers.extend(range.handover.map(|token| (index, token)));
         }
         let Table { era, unsettled, fence, claims, .. } = table;
+        let claims = claims.into_iter();
+        let claims = claims.map(|(node, term)| (node, number_of(term)));
+        let claims = claims.collect();
         Self { era, unsettled, fence, claims, owners, ranges, handovers }
     }
 }
@@ -177,6 +180,9 @@
                 handover: tokens.remove(&index),
             });
         }
+        let claims = claims.into_iter();
+        let claims = claims.map(|(node, term)| (node, qualify(era, term)));
+        let claims = claims.collect();
         Self { era, unsettled, fence, claims, ranges: all }
     }
 }
--- a/crates/core/tests/fleet/crashes.rs
+++ b/crates/core/tests/fleet/crashes.rs
@@ -4,6 +4,7 @@
 use lagoondyke_core::fleet::effect::{Effect, Notice};
 use lagoondyke_core::fleet::event::{Event, Outcome};
 use lagoondyke_core::fleet::gossip::MAX_GOSSIP_BYTES;
+use lagoondyke_core::fleet::table::Instance;
 use lagoondyke_core::fleet::upstream::Phase;
 use lagoondyke_core::id::{Fingerprint, Ticket};
 use lagoondyke_core::verdict::{Reason, Refusal, Verdict};
@@ -188,6 +189,11 @@
     gossip.node = "n".repeat(64);
     gossip.domain = "d".repeat(64);
     gossip.service = "s".repeat(64);
+    let upstream = Instance { id: "u".repeat(64), started_ms: u64::MAX };
+    gossip.departed = Some(upstream.clone());
+    gossip.table = u64::MAX;
+    gossip.recalled = vec![("n".repeat(64), upstream); 3];
+    gossip.fit();
     let bytes = gossip.encode().expect("gossip can be encoded");
     assert!(bytes.len() <= MAX_GOSSIP_BYTES, "{} bytes", bytes.len());
 }
--- a/crates/core/tests/fleet/table.rs
+++ b/crates/core/tests/fleet/table.rs
@@ -1,5 +1,6 @@
 //! Tables of key ranges as they are stored.
 
+use lagoondyke_core::fleet::revision::qualify;
 use lagoondyke_core::fleet::table::{
     Instance, MAX_FENCE, MAX_KEY, Share, Table, TableError,
 };
@@ -132,3 +133,17 @@
     assert_eq!(table.check_at(3), Ok(()));
     assert_eq!(table.check_at(2), Err(TableError::Era { era: 3 }));
 }
+
+/// Guards against terms that are stored as numbers which other programs round,
+/// and against ones that are of another era after they were read.
+#[test]
+fn terms_are_stored_within_their_era() {
+    let share = Share { node: "a".to_owned(), slots: 1 };
+    let mut table = Table::proportional(&[share]);
+    table.begin_era(600);
+    table.claims.insert("a".to_owned(), qualify(600, 7));
+    let text = serde_json::to_string(&table).expect("JSON");
+    assert!(text.contains(r#""claims":{"a":7}"#), "{text}");
+    let read: Table = serde_json::from_str(&text).expect("a table");
+    assert_eq!(read, table);
+}
