Restores: wait for each later table, and keep the rule that the model checks

Read again: the reducer no longer called rules::may_grant, which the model checker runs, so that a change of one would not have reached the other. It does again. A table that is rebuilt twice in one era waited for peers with a later one only until the first wait was over, although they may grant under it; it now waits for them as long as they live. A late answer of an earlier era no longer counts as an outage of the store. Configurations are passed on without the version that they contain already.

--- a/crates/core/src/fleet/documents.rs
+++ b/crates/core/src/fleet/documents.rs
@@ -207,6 +207,10 @@
         now: Millis,
         out: &mut Vec<Effect>,
     ) {
+        let up = !matches!(
+            outcome,
+            StoreOutcome::Unavailable | StoreOutcome::Unknown
+        );
         let outcome = if self.accepts_era(&outcome, now, out) {
             outcome
         } else {
@@ -217,10 +221,6 @@
             self.on_renewed(outcome, now, out);
             return self.answer_exits(now, out);
         }
-        let up = !matches!(
-            outcome,
-            StoreOutcome::Unavailable | StoreOutcome::Unknown
-        );
         if up != self.store_up {
             self.store_up = up;
             for feed in self.feeds.iter_mut().filter(|_| up) {
--- a/crates/core/src/fleet/event.rs
+++ b/crates/core/src/fleet/event.rs
@@ -134,8 +134,8 @@
 /// A document in the form in which nodes fetch it from each other.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Document {
-    /// The version of the configuration, and the configuration.
-    Config(u64, Box<Config>),
+    /// The configuration.
+    Config(Box<Config>),
     /// The store revision and the failure domains that are out of service.
     Domains(u64, BTreeSet<String>),
     /// Tables by service, with their revisions.
--- a/crates/core/src/fleet/peer_sync.rs
+++ b/crates/core/src/fleet/peer_sync.rs
@@ -205,7 +205,7 @@
         out: &mut Vec<Effect>,
     ) {
         match document {
-            Document::Config(_, config) => {
+            Document::Config(config) => {
                 self.apply_config(*config, None, out);
             }
             Document::Domains(revision, names) => {
--- a/crates/core/src/fleet/reconcile.rs
+++ b/crates/core/src/fleet/reconcile.rs
@@ -88,7 +88,6 @@
         if self.is_table_lost() {
             return self.restore_table(service, now, out);
         }
-
         let own = self.proposal(&old, now, out);
         if own.is_none() {
             self.edit.proposed = None;
--- a/crates/core/src/fleet/reducer.rs
+++ b/crates/core/src/fleet/reducer.rs
@@ -246,7 +246,7 @@
             ObjectKind::Config => {
                 let config = self.config.as_ref()?;
                 let config = Box::new(Config::clone(config));
-                Some(Document::Config(self.versions.config, config))
+                Some(Document::Config(config))
             }
             ObjectKind::Domains => {
                 let out = self.domains_out.clone();
--- a/crates/core/src/fleet/restore.rs
+++ b/crates/core/src/fleet/restore.rs
@@ -31,6 +31,7 @@
 use crate::fleet::proposal::PendingProposals;
 use crate::fleet::reducer::Fleet;
 use crate::fleet::revision::era_of;
+use crate::fleet::rules;
 use crate::fleet::table::{Range, Table};
 
 /// Time from when a node notices a restore until all leases that the store had
@@ -184,8 +185,9 @@
     /// Time for which the node may grant ranges, in milliseconds: under its
     /// claim in the table, or under what it inherited.
     pub(super) fn right_ms(&self, now: Millis) -> u64 {
-        if self.is_claimed() {
-            return self.lease.remaining_ms(now);
+        let lease_ms = self.lease.remaining_ms(now);
+        if rules::may_grant(self.claimed_term(), self.term, lease_ms) {
+            return lease_ms;
         }
         let inherited = self.restore.inherited.as_ref();
         inherited.map_or(0, |inherited| inherited.until.since(now))
@@ -244,11 +246,19 @@
         }
         // A peer that does not deliver its table is waited for until it can
         // grant nothing under it.
-        if self.is_table_behind(now) && !self.restore.is_settled(now) {
+        let era = self.restore.era();
+        let is_settled = self.restore.is_settled(now);
+        let awaits = |node: &str, peer: &Peer| {
+            let is_present = era_of(peer.gossip.table) == era;
+            self.knows_later_table(peer)
+                && (is_present || !is_settled)
+                && self.directory.is_live(node, now)
+        };
+        if self.directory.iter().any(|(node, peer)| awaits(node, peer)) {
             return None;
         }
         let mut table = Table::clone(&known.table);
-        table.rebuild(self.restore.era());
+        table.rebuild(era);
         Some(table)
     }
 
@@ -273,8 +283,9 @@
         known.map_or(0, |known| known.revision)
     }
 
-    /// Lists what the operator has taken out of service again once it has had
-    /// the time to write its changes a second time.
+    /// Drops what was kept from before a restore once it has no effect any more:
+    /// leases have ended, and the operator has had the time to write its
+    /// changes again.
     pub(super) fn end_restore(&mut self, now: Millis, out: &mut Vec<Effect>) {
         if !self.restore.is_settled(now) {
             return;
--- a/crates/core/tests/fleet/malformed.rs
+++ b/crates/core/tests/fleet/malformed.rs
@@ -259,7 +259,7 @@
 fn document(random: &mut Pcg64Mcg) -> Document {
     let revision = number(random);
     match random.random_range(0..3) {
-        0 => Document::Config(revision, Box::new(config(random))),
+        0 => Document::Config(Box::new(config(random))),
         1 => Document::Domains(revision, ["d".to_owned()].into()),
         _ => Document::Tables(vec![(name(random), revision, table(random))]),
     }
--- a/crates/core/tests/fleet/requests.rs
+++ b/crates/core/tests/fleet/requests.rs
@@ -84,8 +84,7 @@
 
     /// The store reports a new version of the configuration.
     pub fn apply_config(&mut self, config: Config) -> Vec<Effect> {
-        let revision = config.version;
-        let document = Document::Config(revision, Box::new(config));
+        let document = Document::Config(Box::new(config));
         self.step(Event::Document(document))
     }
 
