--- a/crates/core/tests/fleet/restore.rs
+++ b/crates/core/tests/fleet/restore.rs
@@ -53,6 +53,14 @@
     sim.store_faults = StoreFaults::default();
 }
 
+/// Checks that all keys are served and no guarantee was violated.
+fn assert_recovered(sim: &Simulation, seed: u64) {
+    let held = sim.held_ratio();
+    assert!(held > 0.999, "seed {seed}: {held} of keys held");
+    let first = sim.violations.first();
+    assert!(first.is_none(), "seed {seed}: {first:?}");
+}
+
 fn assert_no_violation(sim: &Simulation) {
     assert!(sim.violations.is_empty(), "{:?}", &sim.violations[..1]);
 }
@@ -99,13 +107,7 @@
         }
         clear_faults(&mut sim);
         sim.run(RECOVERY_MS + 2 * LEASE_DURATION_MS);
-        let held = sim.held_ratio();
-        assert!(held > 0.999, "seed {seed}: {held} of keys held");
-        assert!(
-            sim.violations.is_empty(),
-            "seed {seed}: {}",
-            sim.violations[0]
-        );
+        assert_recovered(&sim, seed);
     }
 }
 
@@ -143,13 +145,7 @@
         sim.run(RECOVERY_MS);
         sim.set_connected(cut, true);
         sim.run(RECOVERY_MS);
-        let held = sim.held_ratio();
-        assert!(held > 0.999, "seed {seed}: {held} of keys held");
-        assert!(
-            sim.violations.is_empty(),
-            "seed {seed}: {}",
-            sim.violations[0]
-        );
+        assert_recovered(&sim, seed);
     }
 }
 
@@ -174,9 +170,7 @@
         sim.set_connected(0, true);
         sim.start_upstream(2);
         sim.run(RECOVERY_MS);
-        let held = sim.held_ratio();
-        assert!(held > 0.999, "seed {seed}: {held} of keys held");
-        assert_no_violation(&sim);
+        assert_recovered(&sim, seed);
     }
 }
 
@@ -196,13 +190,7 @@
         sim.run(span);
         sim.start_node(0);
         sim.run(RECOVERY_MS);
-        let held = sim.held_ratio();
-        assert!(held > 0.999, "seed {seed}: {held} of keys held");
-        assert!(
-            sim.violations.is_empty(),
-            "seed {seed}: {}",
-            sim.violations[0]
-        );
+        assert_recovered(&sim, seed);
     }
 }
 
@@ -481,9 +469,7 @@
         sim.run(2_000);
         assert_eq!(sim.range_counts()[2], 0, "seed {seed}");
         sim.run(RECOVERY_MS);
-        let held = sim.held_ratio();
-        assert!(held > 0.999, "seed {seed}: {held} of keys held");
-        assert_no_violation(&sim);
+        assert_recovered(&sim, seed);
     }
 }
 
