Tests of the memory of answers: each part, members of groups, frames

The process test sends without end; these hold what each connection has sent, so that many answers within their own limits meet the common one: a head, each framing of a body, answers of a group's upstream, and frames of peers.

--- a/crates/node/tests/contract/main.rs
+++ b/crates/node/tests/contract/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod common;
 mod forwards;
+mod memory;
 mod peer_frames;
 mod store;
 mod upstream;
