A thawed node grants keys to an instance it does not know: known red

Only where keys are granted in calls. A node that was frozen reads an announcement which has waited in its socket as if it had just arrived, and opens a connection, which leads to the next instance.

The simulation now ends each call at its time limit, as the shell does.

--- a/crates/core/tests/fleet/grant_calls.rs
+++ b/crates/core/tests/fleet/grant_calls.rs
@@ -8,6 +8,9 @@
 use crate::ownership::{RECOVERY_MS, SETTLE_MS, clear_faults, inject_fault};
 use crate::support::{CallFaults, Simulation};
 
+/// Time for which a node is frozen: others revoke its lease meanwhile.
+const FREEZE_MS: u64 = 5_000;
+
 /// Calls of which half are not answered and applied up to 6 s later.
 const LATE_CALLS: CallFaults = CallFaults {
     unanswered_percent: 50,
@@ -229,3 +232,26 @@
         );
     }
 }
+
+/// Guards against a node that was frozen, takes an announcement which has waited
+/// in its socket for a recent one, and opens a connection to the next instance
+/// of its upstream: that took keys under the token of the instance before it.
+#[test]
+fn a_thawed_node_grants_nothing_to_an_instance_that_it_does_not_know() {
+    for seed in 0..40 {
+        let mut sim = settled(4, seed);
+        let span = sim.random(900);
+        sim.run(span);
+        sim.pause_node(1, FREEZE_MS);
+        // The next instance starts within 100 ms after the thaw.
+        let before = 255 + sim.random(95);
+        sim.run(FREEZE_MS - before);
+        sim.restart_upstream_in(1, 350);
+        sim.run(RECOVERY_MS);
+        assert!(
+            sim.violations.is_empty(),
+            "seed {seed}: {}",
+            sim.violations[0]
+        );
+    }
+}
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -803,9 +803,15 @@
         connect_until: Millis,
     ) {
         self.upstream_calls += 1;
+        let process = self.nodes[index].process;
+        // The shell gives up a call that was not answered in time, also one
+        // whose upstream has ended. The reducer ignores a second end.
+        let outcome = CallOutcome::Unknown;
+        let given_up = Event::CallDone { ticket, outcome };
+        let span = expires.since(Millis(self.now)) + 1;
+        self.schedule_after(span, Task::Event(index, process, given_up));
         let node = &mut self.nodes[index];
         let upstream = &self.upstreams[index];
-        let process = node.process;
         let started_ms = upstream.instance.started_ms;
         let open = upstream.up
             && (node.connected_to == started_ms
