Read bodies with a length in one go again, and look at one node's gossip only

Cause: a buffer that grows by doubling reads a body of some 10 KB in several system calls, and copies it. Besides, each datagram made a node look at all nodes for a later table; it looks at the sender.

The process test of answers without end and the tests of memory hold.

--- a/crates/core/src/fleet/peer_sync.rs
+++ b/crates/core/src/fleet/peer_sync.rs
@@ -120,6 +120,8 @@
         let suspects = gossip.suspects.clone();
         let (departed, recalled) =
             (gossip.departed.clone(), gossip.recalled.clone());
+        let is_same_service = gossip.service == self.settings.service;
+        let table = if is_same_service { gossip.table } else { 0 };
         if !self.directory.update(from, gossip, now) {
             return;
         }
@@ -135,7 +137,7 @@
             self.gossip_due = now;
         }
         self.recall_exit(recalled, now, out);
-        let is_behind = self.is_table_behind(now);
+        let is_behind = table > self.own_table_revision();
         for kind in
             [ObjectKind::Config, ObjectKind::Domains, ObjectKind::Tables]
         {
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -43,6 +43,10 @@
 /// the buffer stays allocated while the connection waits for a message.
 const FIRST_READ_BYTES: usize = 2 * 1024;
 
+/// Capacity that the buffer of a body with a length gets at once. Most bodies
+/// are smaller and take a single read.
+const MAX_AT_ONCE_BYTES: usize = 64 * 1024;
+
 /// Number of bytes after which reading from a connection pauses. A read of
 /// bytes that have arrived already does not wait, so a fast sender would keep
 /// all other connections waiting.
@@ -342,6 +346,12 @@
         reserved: &mut Reservation,
     ) -> Result<Bytes, WireError> {
         while self.buf.len() < size {
+            // Room for a whole read is left, so that the end needs no growth.
+            let target = size.min(MAX_AT_ONCE_BYTES) + READ_BYTES / 4;
+            if self.buf.capacity() < target {
+                reserved.grow_to(target)?;
+                self.buf.reserve(target - self.buf.len());
+            }
             self.make_room(size, 0, reserved)?;
             if let Ok(0) | Err(_) = self.fill().await {
                 return Err(WireError::Closed);
