--- a/review/standin-3/src/deployment.rs
+++ b/review/standin-3/src/deployment.rs
@@ -30,6 +30,14 @@
 
 /// The operator's configuration with these routes to [`SERVICE`].
 pub fn configuration(version: u64, routes: &[Route<'_>]) -> String {
+    service_configuration(version, routes, true)
+}
+
+fn service_configuration(
+    version: u64,
+    routes: &[Route<'_>],
+    sharded: bool,
+) -> String {
     let paths: Vec<String> = routes
         .iter()
         .enumerate()
@@ -47,7 +55,7 @@
         "{{\"version\":\"r{version}\",\"services\":[{{\
          \"name\":\"{SERVICE}\",\"health_path\":\"/healthz\",\
          \"max_connections\":120,\"protocol\":\"h1\",\"tls\":false,\
-         \"warmup_s\":0.0,\"warmup_per_s\":0.0,\"sharded\":true,\
+         \"warmup_s\":0.0,\"warmup_per_s\":0.0,\"sharded\":{sharded},\
          \"warm_s\":2.0,\"grants\":\"heartbeat\"}}],\"limits\":{{\
          \"max_header_bytes\":16384,\"max_body_bytes\":67108864,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
@@ -70,10 +78,25 @@
         case: &Case,
         count: usize,
         routes: &[Route<'_>],
+    ) -> Result<Self, String> {
+        let all = Self::start_service(case, count, routes, true)?;
+        if !all.wait_all_held() {
+            return Err("the keys are not held".to_owned());
+        }
+        Ok(all)
+    }
+
+    /// Starts everything.
+    pub fn start_service(
+        case: &Case,
+        count: usize,
+        routes: &[Route<'_>],
+        sharded: bool,
     ) -> Result<Self, String> {
         let record = case.record.clone();
         let (store, store_addr) = Store::start().map_err(|e| e.to_string())?;
-        store.put("config", "main", &configuration(7, routes));
+        let config = service_configuration(7, routes, sharded);
+        store.put("config", "main", &config);
         let gossip = gossip_port(count);
         let mut nodes: Vec<Node> = (0..count)
             .map(|index| {
@@ -95,6 +118,7 @@
                 node: node.control,
                 beat_ms: BEAT_MS,
                 work_ms: WORK_MS,
+                sharded,
                 capacity: 6,
             };
             // The beats of the servers are spread over their interval.
@@ -106,9 +130,6 @@
         let answers = Answers::default();
         let all = Self { store, nodes, servers, history, answers, record };
         all.watch();
-        if !all.wait_all_held() {
-            return Err("the keys are not held".to_owned());
-        }
         Ok(all)
     }
 
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -9,6 +9,7 @@
 mod foreign_beat;
 mod http;
 mod json;
+mod lost_exit;
 mod old_beat;
 mod own_paths;
 mod record;
@@ -50,6 +51,7 @@
     let case = Case { record: record.clone(), trouble, folder };
     let verdict = match name.as_str() {
         "foreign-beat" => foreign_beat::run(&case),
+        "lost-exit" => lost_exit::run(&case),
         "own-paths" => own_paths::run(&case),
         "old-beat" => old_beat::run(&case),
         _ => Verdict::NotRun(format!("there is no case {name}")),
--- a/review/standin-3/src/server.rs
+++ b/review/standin-3/src/server.rs
@@ -40,6 +40,8 @@
     pub longest_shared: (u64, String),
     /// Number of runs of each request.
     pub runs: BTreeMap<String, u32>,
+    /// When each server ran a request.
+    pub run_times: BTreeMap<String, Vec<u64>>,
 }
 
 impl History {
@@ -86,6 +88,8 @@
     pub node: SocketAddr,
     pub beat_ms: u64,
     pub work_ms: u64,
+    /// Whether its service is divided by key.
+    pub sharded: bool,
     /// Number of requests that it runs at once.
     pub capacity: u64,
 }
@@ -158,6 +162,22 @@
         self.record.line(format!("server {} crashes", self.options.id));
     }
 
+    /// Reports its exit without having said that it drains, and serves on.
+    /// Returns when the report was acknowledged.
+    pub fn leave(&self) -> Option<u64> {
+        let id = &self.options.id;
+        let target = format!("/api/rpc?call=instances.deregister&of={id}");
+        let report =
+            Message::request("POST", &target).with("Host", self.options.node);
+        let answer = call(self.options.node, &report, BEAT_LIMIT_MS).ok()?;
+        if answer.status != 200 {
+            return None;
+        }
+        let now = self.record.now();
+        self.record.line(format!("the exit of {id} is acknowledged"));
+        Some(now)
+    }
+
     /// Says from the next beat on that it is draining.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
@@ -182,7 +202,8 @@
     pub fn next_beat(&self, state: &str) -> Message {
         let mut sequence = self.sequence.lock().unwrap();
         *sequence += 1;
-        let Options { id, service, addr, capacity, .. } = &self.options;
+        let Options { id, service, addr, capacity, sharded, .. } =
+            &self.options;
         let rows = self.rows();
         let holds: Vec<String> = rows
             .iter()
@@ -190,12 +211,16 @@
             .collect();
         let released = self.released.lock().unwrap().join(",");
         let holds = holds.join(",");
+        let lists = if *sharded {
+            format!(",\"holds\":[{holds}],\"released\":[{released}]")
+        } else {
+            String::new()
+        };
         let body = format!(
             "{{\"service\":\"{service}\",\"address\":\"{addr}\",\
              \"zone\":\"aarhus\",\"version\":\"v1\",\"capacity\":{capacity},\
              \"state\":\"{state}\",\"warmup_left_ms\":0,\
-             \"sequence\":{sequence},\"born\":{},\
-             \"holds\":[{holds}],\"released\":[{released}]}}",
+             \"sequence\":{sequence},\"born\":{}{lists}}}",
             self.born
         );
         let target = format!("/api/rpc?call=instances.heartbeat&of={id}");
@@ -300,7 +325,7 @@
             let rows = self.rows();
             rows.iter().any(|r| r.first <= key && key <= r.last)
         };
-        if !key.is_some_and(holds) {
+        if self.options.sharded && !key.is_some_and(holds) {
             return refused(421);
         }
         let key = key.map(|k| k.to_string()).unwrap_or_default();
@@ -308,6 +333,8 @@
         self.record.line(line);
         let mut history = self.history.lock().unwrap();
         *history.runs.entry(request.clone()).or_default() += 1;
+        let times = history.run_times.entry(id.clone()).or_default();
+        times.push(self.record.now());
         drop(history);
         sleep(self.options.work_ms);
         if self.has_ended() {
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -11,17 +11,22 @@
 
 const ANSWER_MS: u64 = 4;
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Content {
     revision: u64,
     objects: BTreeMap<(String, String), (u64, String)>,
     /// Answers take this many times as long.
     slow: u64,
+    /// Rises with each drill.
+    era: u64,
+    /// Connections are closed without an answer.
+    away: bool,
 }
 
 #[derive(Clone, Default)]
 pub struct Store {
     content: Arc<Mutex<Content>>,
+    copy: Arc<Mutex<Content>>,
 }
 
 impl Store {
@@ -29,11 +34,19 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let addr = listener.local_addr()?;
         let store = Self::default();
-        store.content.lock().unwrap().revision = 100;
+        {
+            let mut content = store.content.lock().unwrap();
+            (content.revision, content.era) = (100, 1);
+        }
         let handler = store.clone();
         serve(listener, Arc::default(), move |call| {
             sleep(ANSWER_MS * handler.slow().max(1));
-            Some(handler.answer(call).with("Store-Era", 1))
+            if handler.content.lock().unwrap().away {
+                return None;
+            }
+            let answer = handler.answer(call);
+            let content = handler.content.lock().unwrap();
+            (!content.away).then(|| answer.with("Store-Era", content.era))
         });
         Ok((store, addr))
     }
@@ -47,6 +60,23 @@
         self.content.lock().unwrap().slow = times;
     }
 
+    /// Makes the copy from which the store comes back in a drill.
+    pub fn make_copy(&self) {
+        let content = self.content.lock().unwrap().clone();
+        *self.copy.lock().unwrap() = content;
+    }
+
+    /// A drill: the store is away for a moment and comes back from the copy.
+    /// The operator has written nothing since.
+    pub fn drill(&self, away_ms: u64) {
+        self.content.lock().unwrap().away = true;
+        sleep(away_ms);
+        let mut content = self.content.lock().unwrap();
+        let era = content.era + 1;
+        *content = self.copy.lock().unwrap().clone();
+        content.era = era;
+    }
+
     /// Writes an object as the operator does.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         let mut content = self.content.lock().unwrap();
@@ -87,8 +117,12 @@
 
     fn watch(&self, kind: &str, after: u64, wait_ms: u64) -> Message {
         let mut waited = 0;
+        let era = self.content.lock().unwrap().era;
         loop {
             let content = self.content.lock().unwrap();
+            if after > content.revision || content.era != era {
+                return Message::response(410, "");
+            }
             let changed = content.objects.iter();
             let changed: Vec<String> = changed
                 .filter(|(key, o)| key.0 == kind && o.0 > after)
