--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -7,6 +7,7 @@
 mod deployment;
 mod fleet;
 mod foreign_beat;
+mod forgotten_exit;
 mod http;
 mod json;
 mod lost_exit;
@@ -51,6 +52,7 @@
     let case = Case { record: record.clone(), trouble, folder };
     let verdict = match name.as_str() {
         "foreign-beat" => foreign_beat::run(&case),
+        "forgotten-exit" => forgotten_exit::run(&case),
         "lost-exit" => lost_exit::run(&case),
         "own-paths" => own_paths::run(&case),
         "old-beat" => old_beat::run(&case),
