--- a/review/standin-3/src/foreign_beat.rs
+++ b/review/standin-3/src/foreign_beat.rs
@@ -38,7 +38,7 @@
 
     // The final fault: a configuration is acknowledged, all processes are
     // killed, and the store is slow.
-    all.store.put("config", "main", &configuration(9, &routes));
+    all.store.put("config", "main", &configuration(9, &routes, true));
     record.line("configuration r9 is acknowledged; the store turns slow");
     all.store.set_slow(SLOW_TIMES);
     all.nodes.iter_mut().for_each(Node::kill);
--- a/review/standin-3/src/forgotten_exit.rs
+++ b/review/standin-3/src/forgotten_exit.rs
@@ -20,7 +20,7 @@
 pub fn run(case: &Case) -> Verdict {
     let record = &case.record;
     let routes = [("/pufi791/", "non_idempotent")];
-    let all = Deployment::start_service(case, 4, &routes, false);
+    let all = Deployment::start_unsharded(case, 4, &routes);
     let mut all = match all {
         Ok(all) => all,
         Err(error) => return Verdict::NotRun(error),
@@ -32,7 +32,7 @@
     // A beat of the first server is held up, and the server crashes. It is back
     // under another id.
     let old = all.servers[0].clone();
-    let old_beat = old.next_beat("ready");
+    let old_beat = old.next_beat();
     record.line(format!("beat of i-0a is held up: {}", old_beat.text()));
     old.crash();
     sleep(1_000);
--- a/review/standin-3/src/lost_exit.rs
+++ b/review/standin-3/src/lost_exit.rs
@@ -28,7 +28,7 @@
 pub fn run(case: &Case) -> Verdict {
     let record = &case.record;
     let routes = [("/pufi791/", "non_idempotent")];
-    let all = Deployment::start_service(case, 4, &routes, false);
+    let all = Deployment::start_unsharded(case, 4, &routes);
     let mut all = match all {
         Ok(all) => all,
         Err(error) => return Verdict::NotRun(error),
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -8,10 +8,10 @@
 mod fleet;
 mod foreign_beat;
 mod forgotten_exit;
+mod harmless;
 mod http;
 mod json;
 mod lost_exit;
-mod old_beat;
 mod own_paths;
 mod record;
 mod server;
@@ -53,9 +53,9 @@
     let verdict = match name.as_str() {
         "foreign-beat" => foreign_beat::run(&case),
         "forgotten-exit" => forgotten_exit::run(&case),
+        "harmless" => harmless::run(&case),
         "lost-exit" => lost_exit::run(&case),
         "own-paths" => own_paths::run(&case),
-        "old-beat" => old_beat::run(&case),
         _ => Verdict::NotRun(format!("there is no case {name}")),
     };
     if std::env::var("KEEP").is_err() {
--- a/review/standin-3/src/own_paths.rs
+++ b/review/standin-3/src/own_paths.rs
@@ -27,7 +27,7 @@
         ("/lohu930/documents/", ADDED_CALM)
     };
     let routes = [first, (prefix, "idempotent")];
-    all.store.put("config", "main", &configuration(9, &routes));
+    all.store.put("config", "main", &configuration(9, &routes, true));
     record.line(format!("configuration r9 adds a route to {prefix}"));
     sleep(APPLY_MS);
     let begin = record.now();
